--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of orioleloft."""
--- /dev/null
+++ b/packages/command/orioleloft/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command of orioleloft."""
--- /dev/null
+++ b/packages/node/orioleloftd/__init__.py
@@ -0,0 +1,1 @@
+"""The entry node of orioleloft: servers, connections and timers around the core."""
--- /dev/null
+++ b/packages/platform/orioleloft_platform/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP form of the platform's object API, behind one interface."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests, demonstrations and benchmarks."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of orioleloft."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the tests."""
