--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -1,12 +1,10 @@
 """Messages between nodes and their msgpack codec."""
 
 import dataclasses
-import types
-import typing
-from typing import Any
 
 import msgpack
 
+from orioleloft_core import packing
 from orioleloft_core.errors import MessageError
 
 # A catalog chunk is the largest part of any message.
@@ -257,16 +255,12 @@
     | Suspect
 )
 
-_CLASSES: dict[str, type] = {cls.__name__: cls for cls in typing.get_args(Message)}
-_NESTED = (NodeFacts, TargetReport)
-_HINTS: dict[type, dict[str, Any]] = {
-    cls: typing.get_type_hints(cls) for cls in (*_CLASSES.values(), *_NESTED)
-}
+_CLASSES = packing.classes_of(Message)
 
 
 def encode(message: Message) -> bytes:
     """Returns the bytes of a message."""
-    return msgpack.packb([type(message).__name__, *_plain(message)])
+    return msgpack.packb(packing.to_tagged(message))
 
 
 def decode(data: bytes) -> Message:
@@ -278,51 +272,6 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise MessageError(f"message of {len(data)} bytes is over {MAX_MESSAGE_BYTES}.")
     try:
-        name, *values = msgpack.unpackb(data, use_list=False)
+        return packing.from_tagged(_CLASSES, msgpack.unpackb(data))
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise MessageError("bytes are not a msgpack array.") from error
-    cls = _CLASSES.get(name) if isinstance(name, str) else None
-    if cls is None:
-        raise MessageError(f"unknown message {str(name)[:40]!r}.")
-    return _build(cls, values)
-
-
-def _plain(value: Any) -> list[Any]:
-    return [_plain_field(getattr(value, field.name)) for field in dataclasses.fields(value)]
-
-
-def _plain_field(value: Any) -> Any:
-    return _plain(value) if dataclasses.is_dataclass(value) else value
-
-
-def _build(cls: type, values: typing.Sequence[Any]) -> Any:
-    hints = _HINTS[cls]
-    if len(values) != len(hints):
-        raise MessageError(f"{cls.__name__} has {len(values)} fields instead of {len(hints)}.")
-    names_and_hints = zip(hints.items(), values, strict=True)
-    return cls(**{name: _checked(cls, hint, value) for (name, hint), value in names_and_hints})
-
-
-def _checked(cls: type, hint: Any, value: Any) -> Any:
-    origin = typing.get_origin(hint)
-    if origin in (typing.Union, types.UnionType):
-        if value is None:
-            return None
-        hint = typing.get_args(hint)[0]
-    if dataclasses.is_dataclass(hint) and isinstance(value, tuple):
-        return _build(hint, value)
-    if origin is tuple and isinstance(value, tuple):
-        return _checked_tuple(cls, typing.get_args(hint), value)
-    if hint is float and type(value) in (int, float):
-        return float(value)
-    if isinstance(hint, type) and type(value) is hint:
-        return value
-    raise MessageError(f"a field of {cls.__name__} is not of type {hint}.")
-
-
-def _checked_tuple(cls: type, hints: tuple[Any, ...], value: tuple[Any, ...]) -> tuple[Any, ...]:
-    if hints[-1] is Ellipsis:
-        return tuple(_checked(cls, hints[0], item) for item in value)
-    if len(hints) != len(value):
-        raise MessageError(f"a tuple of {cls.__name__} has {len(value)} items.")
-    return tuple(_checked(cls, hint, item) for hint, item in zip(hints, value, strict=True))
+        raise MessageError(f"not a message of this version: {error}") from error
