Thin path of the daemon: callers, target client, runner, target stand-in

Cause: the core needs surroundings that carry a request to a target and back. Ruled out: tornado's simple HTTP client (one connection per request) and the curl client (resends a POST by itself). Measured: nothing yet.

--- /dev/null
+++ b/packages/node/orioleloftd/logs.py
@@ -0,0 +1,43 @@
+"""Structured log lines: one JSON object a line, with the event name and named fields."""
+
+import datetime
+import json
+import logging
+
+_FIELDS = "orioleloft_fields"
+
+
+class LineFormatter(logging.Formatter):
+    """Formats a record as one JSON object."""
+
+    def __init__(self, seat: str) -> None:
+        super().__init__()
+        self._seat = seat
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line."""
+        moment = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        line = {
+            "time": moment.isoformat(timespec="milliseconds"),
+            "level": record.levelname,
+            "seat": self._seat,
+            "event": record.getMessage(),
+            **getattr(record, _FIELDS, {}),
+        }
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+def log_event(logger: logging.Logger, name: str, **fields: object) -> None:
+    """Writes an event with named fields."""
+    logger.info(name, extra={_FIELDS: fields})
+
+
+def set_up(level: str, seat: str) -> None:
+    """Sends all records of at least `level` to standard error as JSON lines."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(LineFormatter(seat))
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    # tornado writes a line for each malformed request of a stranger.
+    logging.getLogger("tornado.general").setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/node/orioleloftd/main.py
@@ -0,0 +1,58 @@
+"""Command line of the entry node: `orioleloftd --settings FILE [--check]`."""
+
+import asyncio
+import random
+import secrets
+import sys
+import time
+from collections.abc import Sequence
+
+from absl import app, flags
+from orioleloft_core import settings as settings_module
+from orioleloft_core.errors import SettingsError
+from orioleloft_core.settings import Settings
+
+from orioleloftd import logs
+from orioleloftd.runner import Runner
+
+EXIT_SETTINGS = 2
+INCARNATION_BYTES = 8
+
+_SETTINGS = flags.DEFINE_string("settings", None, "settings file of the node", required=True)
+_CHECK = flags.DEFINE_boolean("check", False, "check the settings file and exit")
+
+
+def main(argv: Sequence[str]) -> int:
+    """Checks the settings and runs the node; returns the exit code."""
+    del argv
+    try:
+        settings = settings_module.read_file(_SETTINGS.value)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    if _CHECK.value:
+        print(f"{_SETTINGS.value}: no faults found")
+        return 0
+    logs.set_up(settings.output.log_level, settings.node.name)
+    asyncio.run(_serve(settings))
+    return 0
+
+
+async def _serve(settings: Settings) -> None:
+    # Imported here so that --check works without the parts that need sockets.
+    from orioleloft_core.node import Node
+    from orioleloft_platform.catalogstore import CatalogStore
+
+    incarnation = secrets.token_hex(INCARNATION_BYTES)
+    node = Node(settings, incarnation, int(time.time() * 1000), random.Random(incarnation))
+    platform = CatalogStore(settings.platform)
+    await Runner(settings, node, platform, incarnation).run()
+
+
+def run() -> None:
+    """Entry point of the `orioleloftd` command."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
