Target client and caller server: limits, bad input and failures under test

Cause: both talk to strangers, and a wrong end of a message would hand one caller's answer to another or state a wrong outcome. Ruled out: tornado's own body limit and its bare 400 answer, which carry neither code nor outcome.

--- a/packages/node/orioleloftd/server.py
+++ b/packages/node/orioleloftd/server.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import socket
+import sys
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
@@ -26,6 +27,7 @@
 ADDRESSES_PATH = "/_orioleloft/addresses"
 STATUS_PATH = "/_orioleloft/status"
 OWN_PATHS = "/_orioleloft/"
+CLOSE = "close"
 
 METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"})
 MAX_NAME_CHARS = 256
@@ -157,7 +159,8 @@
         super().initialize(
             _CallerConnections(gateway, settings),
             max_header_size=limits.max_header_bytes,
-            max_body_size=limits.max_body_bytes,
+            # The reader counts body bytes itself: tornado's limit answers without the code.
+            max_body_size=sys.maxsize,
             max_buffer_size=limits.max_header_bytes + limits.max_body_bytes + 65536,
             idle_connection_timeout=IDLE_SECONDS,
         )
@@ -348,19 +351,23 @@
             headers[CODE] = reply.code.value
         if self._request_id:
             headers[REQUEST_ID] = self._request_id
+        wants_close = CLOSE in targetprotocol.connection_tokens(self._headers)
+        if wants_close or reply.code is Code.NODE_STOPPING:
+            headers["Connection"] = CLOSE
         self._write(reply.status, headers, body)
 
     def _write(self, status: int, headers: httputil.HTTPHeaders, body: bytes) -> None:
-        is_bodiless = self._start_line.method == "HEAD" or status in (204, 304)
-        if is_bodiless:
+        if self._start_line.method == "HEAD" or status in (204, 304):
             body = b""
-        elif "Content-Length" not in headers:
+        else:
             headers["Content-Length"] = str(len(body))
         reason = httputil.responses.get(status, "Unknown")
-        self._connection.write_headers(
+        written = self._connection.write_headers(
             httputil.ResponseStartLine("HTTP/1.1", status, reason), headers, body
         )
         self._connection.finish()
+        if headers.get("Connection") == CLOSE:
+            written.add_done_callback(lambda _: self._stream.close())
 
 
 def error_body(code: Code, message: str, outcome: Outcome) -> bytes:
--- a/packages/node/orioleloftd/targetprotocol.py
+++ b/packages/node/orioleloftd/targetprotocol.py
@@ -110,7 +110,15 @@
 
 def closes(version: str, headers: httputil.HTTPHeaders) -> bool:
     """Tells whether the target closes the connection after this answer."""
-    return version != "HTTP/1.1" or "close" in _tokens(headers)
+    return version != "HTTP/1.1" or "close" in connection_tokens(headers)
+
+
+def connection_tokens(headers: httputil.HTTPHeaders) -> frozenset[str]:
+    """Returns the options of the `Connection` header in lower case."""
+    value = headers.get("Connection")
+    if value is None:
+        return frozenset()
+    return frozenset(token.strip().lower() for token in value.split(","))
 
 
 def has_length(status: int, headers: httputil.HTTPHeaders) -> bool:
@@ -130,15 +138,8 @@
         yield name.strip(), value.strip()
 
 
-def _tokens(headers: httputil.HTTPHeaders) -> frozenset[str]:
-    value = headers.get("Connection")
-    if value is None:
-        return frozenset()
-    return frozenset(token.strip().lower() for token in value.split(","))
-
-
 def _end_to_end(headers: httputil.HTTPHeaders, removed: frozenset[str]) -> Headers:
-    named = _tokens(headers)
+    named = connection_tokens(headers)
     kept = []
     for name, value in headers.get_all():
         lower = name.lower()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import dataclasses
+import re
 
 from orioleloft_core import effects, events
 from orioleloft_core.catalog import Catalog, Service, Target, Zone
 from orioleloft_core.errors import Outcome
 from orioleloft_core.request import Ending, Reply, Request
 from orioleloft_core.settings import FleetSettings, NodeSettings, RequestSettings, Seat, Settings
+from tornado import testing
+
+# Far above the duration of any test; a test that waits in vain ends then.
+ASYNC_TEST_SECONDS = 30
 
 
 def settings(peer_port=0, **requests):
@@ -108,3 +113,54 @@
     received = await reader.read()
     writer.close()
     return received
+
+
+def async_test(method):
+    """Runs a test method on the loop of its `AsyncTestCase`."""
+    return testing.gen_test(timeout=ASYNC_TEST_SECONDS)(method)
+
+
+class RawTarget:
+    """A target that writes given bytes for every request that it has read whole.
+
+    Args:
+        answer: bytes to write for each request.
+        closes: whether the connection is closed after the answer.
+        reads_body: whether bodies are read before the answer is written.
+    """
+
+    def __init__(self, answer=b"", closes=False, reads_body=True):
+        self.answer = answer
+        self.closes = closes
+        self.reads_body = reads_body
+        self.requests = []
+        self.opened = 0
+        self.closed = 0
+
+    async def start(self):
+        """Listens on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def stop(self):
+        """Closes the port."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.opened += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                length = re.search(rb"Content-Length: (\d+)", head)
+                if length and self.reads_body:
+                    head += await reader.readexactly(int(length.group(1)))
+                self.requests.append(head)
+                writer.write(self.answer)
+                if self.closes:
+                    break
+        except (EOFError, asyncio.CancelledError, asyncio.LimitOverrunError, ConnectionError):
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
