--- a/packages/core/orioleloft_core/errors.py
+++ b/packages/core/orioleloft_core/errors.py
@@ -126,6 +126,12 @@
     code = "release-refused"
 
 
+class DocumentError(OrioleloftError):
+    """An object on the platform does not have the form of its kind."""
+
+    code = "document-invalid"
+
+
 class PlatformDownError(OrioleloftError):
     """The platform could not be reached; nothing was changed."""
 
