Thin whole path: note, platform, entry nodes and targets as separate processes

Cause: everything else is measured on the path from a caller to a target, which did not run yet. Ruled out: waiting for grants and leases; the first form of node.py routes on its own view only.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 SOURCES := packages standins tests bench
 STAMP := $(VENV)/installed.stamp
 
+export PYTHONPATH := $(CURDIR):$(CURDIR)/packages/core:$(CURDIR)/packages/platform:$(CURDIR)/packages/node:$(CURDIR)/packages/command
+
 .PHONY: run test lint format bench fuzz clean
 
 $(STAMP): requirements.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
--- a/packages/node/orioleloftd/links.py
+++ b/packages/node/orioleloftd/links.py
@@ -10,11 +10,11 @@
 
 import zmq
 import zmq.auth.asyncio
+from zmq.eventloop import zmqstream
+
 from orioleloft_core import messages
 from orioleloft_core.errors import MessageError, SettingsError
 from orioleloft_core.settings import Seat, Settings
-from zmq.eventloop import zmqstream
-
 from orioleloftd import metrics
 from orioleloftd.logs import log_event
 
@@ -59,12 +59,7 @@
         self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
         self._router: zmqstream.ZMQStream | None = None
         self._dealers: dict[str, zmq.Socket] = {}
-        own = self._seats[settings.node.name]
-        if not settings.fleet.public_key and not is_loopback(own.peer_address):
-            raise SettingsError(
-                f"{own.peer_address} is not a loopback address and the fleet has no keys.",
-                "Set public_key and secret_key in [fleet].",
-            )
+        check_keys(settings)
 
     def start(self) -> None:
         """Binds the own address and connects to all other seats."""
@@ -180,10 +175,28 @@
         return False
 
 
+def check_keys(settings: Settings) -> None:
+    """Checks that the keys belong together, and that a port without keys is on loopback.
+
+    Raises:
+        SettingsError: one of both does not hold.
+    """
+    fleet = settings.fleet
+    if not fleet.public_key:
+        own = next(seat for seat in fleet.seats if seat.name == settings.node.name)
+        if not is_loopback(own.peer_address):
+            raise SettingsError(
+                f"{own.peer_address} is not a loopback address and the fleet has no keys.",
+                "Set public_key and secret_key in [fleet].",
+            )
+    elif zmq.curve_public(fleet.secret_key.encode()) != fleet.public_key.encode():
+        raise SettingsError(
+            "[fleet] public_key: it does not belong to secret_key.",
+            "Copy both keys from the same run of the command in docs/operators.md.",
+        )
+
+
 def is_loopback(address: str) -> bool:
     """Tells whether the host of `host:port` is a loopback IP number."""
     host = address.rpartition(":")[0].strip("[]")
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return False
+    return ipaddress.ip_address(host).is_loopback
--- a/packages/node/orioleloftd/main.py
+++ b/packages/node/orioleloftd/main.py
@@ -8,11 +8,11 @@
 from collections.abc import Sequence
 
 from absl import app, flags
+
 from orioleloft_core import settings as settings_module
 from orioleloft_core.errors import SettingsError
 from orioleloft_core.settings import Settings
-
-from orioleloftd import logs
+from orioleloftd import links, logs
 from orioleloftd.runner import Runner
 
 EXIT_SETTINGS = 2
@@ -25,27 +25,44 @@
 def main(argv: Sequence[str]) -> int:
     """Checks the settings and runs the node; returns the exit code."""
     del argv
+    if _CHECK.value:
+        return check(_SETTINGS.value)
     try:
-        settings = settings_module.read_file(_SETTINGS.value)
+        settings = _read(_SETTINGS.value)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    if _CHECK.value:
-        print(f"{_SETTINGS.value}: no faults found")
-        return 0
     logs.set_up(settings.output.log_level, settings.node.name)
     asyncio.run(_serve(settings))
     return 0
 
 
+def check(path: str) -> int:
+    """Prints all faults of a settings file; returns the exit code."""
+    try:
+        _read(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    print(f"{path}: no faults found")
+    return 0
+
+
+def _read(path: str) -> Settings:
+    settings = settings_module.read_file(path)
+    links.check_keys(settings)
+    return settings
+
+
 async def _serve(settings: Settings) -> None:
     # Imported here so that --check works without the parts that need sockets.
     from orioleloft_core.node import Node
     from orioleloft_platform.catalogstore import CatalogStore
+    from orioleloft_platform.objectstore import HttpObjectStore
 
     incarnation = secrets.token_hex(INCARNATION_BYTES)
     node = Node(settings, incarnation, int(time.time() * 1000), random.Random(incarnation))
-    platform = CatalogStore(settings.platform)
+    platform = CatalogStore(HttpObjectStore(settings.platform.address))
     await Runner(settings, node, platform, incarnation).run()
 
 
--- a/packages/node/orioleloftd/metrics.py
+++ b/packages/node/orioleloftd/metrics.py
@@ -3,6 +3,7 @@
 import collections
 
 import statsd
+
 from orioleloft_core.settings import OutputSettings
 
 DEFAULT_STATSD_PORT = 8125
--- a/packages/node/orioleloftd/runner.py
+++ b/packages/node/orioleloftd/runner.py
@@ -11,10 +11,9 @@
 
 from orioleloft_core import effects, events
 from orioleloft_core.catalog import Catalog
-from orioleloft_core.errors import Code, OrioleloftError
+from orioleloft_core.errors import Code
 from orioleloft_core.request import DispatchResult, Ending, Reply, Request, error_reply
 from orioleloft_core.settings import Settings
-
 from orioleloftd import links, metrics
 from orioleloftd.logs import log_event
 from orioleloftd.server import CallerServer
@@ -25,8 +24,6 @@
 # Time that answers may take to leave the process at its end.
 FLUSH_ANSWERS_SECONDS = 2.0
 
-Holders = tuple[tuple[str, str, str], ...]
-
 _log = logging.getLogger(__name__)
 
 
@@ -50,20 +47,16 @@
 
 
 class Platform(Protocol):
-    """What the runner needs from the platform's client.
-
-    Each call raises an `OrioleloftError` when its answer is missing; a write may have taken
-    effect then.
-    """
+    """What the runner needs from `orioleloft_platform.catalogstore.CatalogStore`."""
 
-    async def read_head(self, wait_for: int) -> Catalog | None:
-        """Returns the catalog, or None when a watch above `wait_for` ended with no change."""
+    async def read_catalog(self, effect: effects.ReadHead) -> events.HeadRead:
+        """Reads the head, or waits for a newer one."""
 
-    async def read_assignment(self) -> tuple[int, Holders]:
-        """Returns the assignment's epoch and holders; epoch 0 if there is none."""
+    async def read_assignment(self) -> events.AssignmentRead:
+        """Reads the assignment."""
 
-    async def write_assignment(self, base_epoch: int, holders: Holders) -> tuple[int, Holders]:
-        """Writes if the epoch is still `base_epoch`; returns what the platform holds then."""
+    async def write_assignment(self, effect: effects.WriteAssignment) -> events.AssignmentRead:
+        """Replaces the assignment if its epoch is still the one that the effect names."""
 
 
 class Runner:
@@ -201,13 +194,12 @@
 
     def _call_platform(self, effect: effects.Effect) -> None:
         match effect:
-            case effects.ReadHead(wait_for):
-                self._spawn(self._read_head(wait_for))
+            case effects.ReadHead():
+                self._spawn(self._feed_result(self._platform.read_catalog(effect)))
             case effects.ReadAssignment():
-                self._spawn(self._assignment(self._platform.read_assignment()))
-            case effects.WriteAssignment(base_epoch, holders):
-                call = self._platform.write_assignment(base_epoch, holders)
-                self._spawn(self._assignment(call))
+                self._spawn(self._feed_result(self._platform.read_assignment()))
+            case effects.WriteAssignment():
+                self._spawn(self._feed_result(self._platform.write_assignment(effect)))
 
     def _dispatch(self, dispatch: effects.Dispatch) -> None:
         def finished(result: DispatchResult) -> None:
@@ -255,34 +247,9 @@
             report = await self._client.probe(target, self._connection_limit(target.service))
         self.feed(events.ProbeFinished(target_id, report))
 
-    async def _read_head(self, wait_for: int) -> None:
-        started = self._clock()
-        catalog, is_reachable = None, True
-        try:
-            catalog = await self._call(self._platform.read_head(wait_for))
-        except OrioleloftError:
-            is_reachable = False
-        self.feed(events.HeadRead(catalog, is_reachable, started))
-
-    async def _assignment(self, call: Coroutine[Any, Any, tuple[int, Holders]]) -> None:
-        started = self._clock()
-        epoch, holders, is_reachable = 0, (), True
-        try:
-            epoch, holders = await self._call(call)
-        except OrioleloftError:
-            is_reachable = False
-        self.feed(events.AssignmentRead(epoch, holders, is_reachable, started))
-
-    async def _call(self, call: Coroutine[Any, Any, Any]) -> Any:
-        """Makes a platform call; an unforeseen fault counts as an unreachable platform."""
+    async def _feed_result(self, call: Coroutine[Any, Any, events.Event]) -> None:
         self.metrics.count(metrics.PLATFORM_CALLS)
-        try:
-            return await call
-        except OrioleloftError:
-            raise
-        except Exception as error:
-            _log.exception("platform-call-failed")
-            raise OrioleloftError(str(error)) from error
+        self.feed(await call)
 
     def _tick(self, due: float) -> None:
         now = self._clock()
--- a/packages/node/orioleloftd/server.py
+++ b/packages/node/orioleloftd/server.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
+from tornado import http1connection, httpserver, httputil, iostream
+
 from orioleloft_core.errors import KINDS, Code, Outcome
 from orioleloft_core.request import Reply, Request, error_reply
 from orioleloft_core.settings import Settings
-from tornado import http1connection, httpserver, httputil, iostream
-
 from orioleloftd import targetprotocol
 
 SERVICE = "Orioleloft-Service"
--- a/packages/node/orioleloftd/targetclient.py
+++ b/packages/node/orioleloftd/targetclient.py
@@ -9,11 +9,11 @@
 import socket
 from collections.abc import Callable
 
+from tornado import http1connection, httputil, iostream
+
 from orioleloft_core.catalog import Target
 from orioleloft_core.effects import Dispatch
 from orioleloft_core.request import DispatchResult, Ending, LoadReport, Request
-from tornado import http1connection, httputil, iostream
-
 from orioleloftd import targetprotocol
 
 IDLE_SECONDS = 60.0
--- a/packages/node/orioleloftd/targetprotocol.py
+++ b/packages/node/orioleloftd/targetprotocol.py
@@ -9,9 +9,10 @@
 
 from collections.abc import Iterable
 
-from orioleloft_core.request import Headers, LoadReport, Request, Warmth
 from tornado import httputil
 
+from orioleloft_core.request import Headers, LoadReport, Request, Warmth
+
 LOAD_REPORT = "Load-Report"
 LOAD_SHED = "Load-Shed"
 LOAD_PATH = "/load"
--- a/packages/platform/orioleloft_platform/catalogstore.py
+++ b/packages/platform/orioleloft_platform/catalogstore.py
@@ -15,7 +15,6 @@
 )
 from orioleloft_core.events import AssignmentRead, HeadRead
 from orioleloft_core.head import Head, Part
-
 from orioleloft_platform.objectstore import ObjectStore, StoredObject, read_many
 
 
--- a/packages/platform/orioleloft_platform/objectstore.py
+++ b/packages/platform/orioleloft_platform/objectstore.py
@@ -35,9 +35,10 @@
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
-from orioleloft_core.errors import ConflictError, OutcomeUnknownError, PlatformDownError
 from tornado import httpclient, httputil
 
+from orioleloft_core.errors import ConflictError, OutcomeUnknownError, PlatformDownError
+
 MAX_VALUE_BYTES = 1024 * 1024
 
 _T = TypeVar("_T")
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,155 @@
+"""Starts and ends the processes of a demonstration, test or benchmark on loopback."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Iterator, Sequence
+from typing import Any
+
+HOST = "127.0.0.1"
+POLL_SECONDS = 0.05
+
+
+class Processes:
+    """Processes that this object started; it ends no others.
+
+    Args:
+        folder: where output of the processes goes.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._running: dict[str, subprocess.Popen] = {}
+
+    def start(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
+        """Starts `python -m module arguments`, with its output in `name.log`."""
+        with open(self._folder / f"{name}.log", "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                stdin=subprocess.DEVNULL,
+            )
+        self._running[name] = process
+        return process
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        self._running[name].send_signal(number)
+
+    def pid(self, name: str) -> int:
+        """Returns the id of a process."""
+        return self._running[name].pid
+
+    def wait(self, name: str, seconds: float) -> int:
+        """Waits for the end of a process and returns its exit code.
+
+        Raises:
+            subprocess.TimeoutExpired: it did not end in time.
+        """
+        code = self._running[name].wait(seconds)
+        del self._running[name]
+        return code
+
+    def kill(self, name: str) -> None:
+        """Kills a process and waits for its end."""
+        process = self._running.pop(name)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def log(self, name: str) -> str:
+        """Returns the output of a process."""
+        return (self._folder / f"{name}.log").read_text(errors="replace")
+
+    def close(self) -> None:
+        """Ends all processes that still run."""
+        for process in self._running.values():
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGCONT)
+            process.kill()
+            process.wait()
+        self._running.clear()
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns loopback ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for each in sockets:
+            each.bind((HOST, 0))
+        return [each.getsockname()[1] for each in sockets]
+    finally:
+        for each in sockets:
+            each.close()
+
+
+def fetch_json(address: str, path: str, body: Any = None) -> Any:
+    """Gets, or with a body posts, JSON.
+
+    Raises:
+        OSError: no answer, or an error status.
+    """
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request(f"http://{address}{path}", data)
+    with urllib.request.urlopen(request, timeout=5) as response:
+        text = response.read()
+    return json.loads(text) if text else None
+
+
+def wait_until(what: str, seconds: float, check: Any) -> None:
+    """Polls a condition; connection errors count as not yet met.
+
+    Raises:
+        TimeoutError: the condition was not met in time.
+    """
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        with contextlib.suppress(OSError, urllib.error.URLError):
+            if check():
+                return
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f"{what}: not within {seconds:g} s.")
+
+
+@contextlib.contextmanager
+def closing(processes: Processes) -> Iterator[Processes]:
+    """Ends all processes at the end of a block."""
+    try:
+        yield processes
+    finally:
+        processes.close()
+
+
+def settings_text(
+    name: str, seats: Sequence[tuple[str, str, int]], port: int, platform: int, extra: str = ""
+) -> str:
+    """Returns the settings file of one node of a loopback fleet.
+
+    Args:
+        name: seat of the node.
+        seats: name, availability zone and port between nodes of each seat.
+        port: port for callers.
+        platform: port of the platform stand-in.
+        extra: further sections.
+    """
+    zone = next(zone for seat, zone, _ in seats if seat == name)
+    lines = [
+        "[node]",
+        f"name = {name}",
+        f"zone = {zone}",
+        f"listen_address = {HOST}:{port}",
+        "[platform]",
+        f"address = {HOST}:{platform}",
+        "[seats]",
+        *(f"{seat} = {zone} {HOST}:{peer}" for seat, zone, peer in seats),
+        extra,
+    ]
+    return "\n".join(lines) + "\n"
--- a/standins/target.py
+++ b/standins/target.py
@@ -17,9 +17,10 @@
 from typing import Any
 
 from absl import app, flags
+from tornado import httpserver, httputil, netutil
+
 from orioleloft_core.request import LoadReport, Warmth
 from orioleloftd import targetprotocol
-from tornado import httpserver, httputil, netutil
 
 CONTROL_PATH = "/_control/"
 CALL_ID = "Call-Id"
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -4,12 +4,13 @@
 import dataclasses
 import re
 
+from tornado import testing
+
 from orioleloft_core import effects, events
 from orioleloft_core.catalog import Catalog, Service, Target, Zone
 from orioleloft_core.errors import Outcome
 from orioleloft_core.request import Ending, Reply, Request
 from orioleloft_core.settings import FleetSettings, NodeSettings, RequestSettings, Seat, Settings
-from tornado import testing
 
 # Far above the duration of any test; a test that waits in vain ends then.
 ASYNC_TEST_SECONDS = 30
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -3,6 +3,7 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core import messages
 from orioleloft_core.errors import MessageError
 
--- a/tests/test_runner.py
+++ b/tests/test_runner.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from orioleloftd.runner import Runner
 from tornado import httpclient, testing
 
+from orioleloftd.runner import Runner
 from standins import target as standin
 from tests.support import fakes
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,11 +6,11 @@
 import unittest
 
 from nose2.tools import params
+from tornado import testing
+
 from orioleloft_core.errors import Code, Outcome
 from orioleloft_core.request import Reply, error_reply
 from orioleloftd.server import CallerServer
-from tornado import testing
-
 from tests.support import fakes
 
 GET = b"GET / HTTP/1.1\r\nHost: a\r\nOrioleloft-Service: ledger\r\n\r\n"
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -4,11 +4,11 @@
 import unittest
 
 from nose2.tools import params
+from tornado import testing
+
 from orioleloft_core.effects import Dispatch
 from orioleloft_core.request import Ending
 from orioleloftd.targetclient import TargetClient
-from tornado import testing
-
 from tests.support import fakes
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
