--- a/packages/core/orioleloft_core/settings.py
+++ b/packages/core/orioleloft_core/settings.py
@@ -82,7 +82,8 @@
         burst: calls that may be made at once.
         backoff_first_ms: upper bound of the first delay after a failure.
         backoff_cap_ms: upper bound of every delay.
-        watch_ms: how long a watch waits.
+        watch_ms: how long a watch waits. The end of a watch confirms the head for all nodes, so
+            it must come well within `freshness_ms`; otherwise each node reads for itself.
     """
 
     address: str = "127.0.0.1:8300"
@@ -90,7 +91,7 @@
     burst: int = 10
     backoff_first_ms: int = 200
     backoff_cap_ms: int = 10000
-    watch_ms: int = 10000
+    watch_ms: int = 2000
 
 
 @dataclasses.dataclass(frozen=True)
