--- a/packages/core/orioleloft_core/publishing.py
+++ b/packages/core/orioleloft_core/publishing.py
@@ -104,8 +104,8 @@
         now_ms: operator's wall clock, milliseconds since 1970.
 
     Raises:
-        NoteError: the note's base is above the version in force, or a document would be over the
-            platform's limit; this run released nothing.
+        NoteError: the note's base is above the version in force or cannot be read back, or a
+            document would be over the platform's limit; this run released nothing.
         PlatformDownError: this run released nothing.
         OutcomeUnknownError: the note may or may not be in force.
     """
@@ -155,7 +155,9 @@
         known: entries by version; those read are added.
 
     Raises:
-        ReleaseRefusedError: the base is too old, or an audit object is missing.
+        ReleaseRefusedError: the base is too old.
+        NoteError: an audit object is missing. A stale read can cause this, so it is no final
+            refusal.
     """
     known.update((entry.version, entry) for entry in head.history)
     versions = range(base + 1, head.version + 1)
@@ -169,30 +171,34 @@
     for version, item in zip(missing, found, strict=True):
         if item is None:
             reason = f"base {base} is older than the head's history and audit/{version} is missing."
-            raise ReleaseRefusedError(reason, remedy)
+            raise NoteError(reason, remedy)
         known[version] = Entry.from_document(item.value)
     return tuple(known[version] for version in versions)
 
 
-def preview(note: Note) -> Generator[Call, Any, release.Plan | Refused]:
+def preview(note: Note) -> Generator[Call, Any, release.Plan | Outcome]:
     """Plans a note against the version in force and writes nothing.
 
+    Returns:
+        The plan; or `Accepted` if the note is in force already; or why publishing would refuse it.
+
     Raises:
-        NoteError: the note's base is above the version in force.
+        NoteError: as `publish`.
         PlatformDownError: the platform did not answer.
     """
     head = yield from read_head()
     _check_base(note, head)
+    (found,) = yield Read((headdocument.note_object(note.name),))
+    if found:
+        decided = _decided(note, NoteRecord.from_document(found.value))
+        if decided:
+            return decided
     try:
         accepted = yield from read_accepted(note.base, head, {})
-        own = next((entry for entry in accepted if entry.note_id == note.id), None)
+        own = _own_entry(note, accepted)
         if own:
-            return Refused(f"the note is in force since version {own.version}.", "")
-        objection = release.overlap(note, accepted)
-        if objection:
-            return Refused(objection.reason, objection.remedy)
-        in_force = yield from _in_force(note, head, {})
-        return release.plan(note, in_force, "", 0)
+            return Accepted(own.version, is_repeat=True)
+        return (yield from _plan(note, head, accepted, {}))
     except ReleaseRefusedError as error:
         return _refused(error)
 
@@ -213,15 +219,12 @@
     def run(self) -> Generator[Call, Any, Outcome]:
         _check_base(self._note, (yield from read_head()))
         record = yield from self._claim_name()
-        if record.note_id != self._note.id:
-            reason = f"the name {self._note.name} belongs to note {record.note_id}."
-            return Refused(reason, "Give this note a name that was never used.")
-        decided = yield from self._decided(record)
+        decided = yield from self._recorded(record)
         if decided:
             return decided
         try:
             return (yield from self._release())
-        except (PlatformDownError, DocumentError) as error:
+        except (PlatformDownError, DocumentError, NoteError) as error:
             self._raise_if_outstanding(error)
             raise
 
@@ -242,12 +245,14 @@
             return None
         try:
             accepted = yield from read_accepted(self._note.base, head, self._entries)
-            own = next((entry for entry in accepted if entry.note_id == self._note.id), None)
+            own = _own_entry(self._note, accepted)
             if own:
                 return (yield from self._finish(own, is_repeat=self._outstanding is None))
             if self._outstanding is not None and head.version > self._outstanding:
                 self._outstanding = None
-            planned = yield from self._planned(head, accepted)
+            planned = yield from _plan(
+                self._note, head, accepted, self._parts, self._operator, self._now_ms
+            )
         except ReleaseRefusedError as error:
             self._raise_if_outstanding(error)
             return (yield from self._refuse(error))
@@ -257,15 +262,6 @@
             yield from self._settle(head.history[-1])
         return (yield from self._write_head(head.version, planned.head))
 
-    def _planned(
-        self, head: Head, accepted: tuple[Entry, ...]
-    ) -> Generator[Call, Any, release.Plan]:
-        objection = release.overlap(self._note, accepted)
-        if objection:
-            raise ReleaseRefusedError(objection.reason, objection.remedy)
-        in_force = yield from _in_force(self._note, head, self._parts)
-        return release.plan(self._note, in_force, self._operator, self._now_ms)
-
     def _write_head(self, version: int, head: Head) -> Generator[Call, Any, Outcome | None]:
         document = head.to_document()
         try:
@@ -322,21 +318,19 @@
             raise PlatformDownError(f"the platform does not show {self._name} yet.", _AGAIN)
         return found.version, NoteRecord.from_document(found.value)
 
-    def _decided(self, record: NoteRecord) -> Generator[Call, Any, Outcome | None]:
-        """Returns the outcome that an earlier run has recorded, or None."""
-        if record.state is NoteState.ACCEPTED:
-            return Accepted(record.version, is_repeat=True)
-        if record.state is NoteState.REFUSED:
+    def _recorded(self, record: NoteRecord) -> Generator[Call, Any, Outcome | None]:
+        """Returns the outcome that the record shows, or None."""
+        is_own = record.note_id == self._note.id
+        if is_own and record.state is NoteState.REFUSED:
             yield from self._list_refusal(record)
-            return Refused(record.refusal, record.remedy)
-        return None
+        return _decided(self._note, record)
 
     def _refuse(self, error: ReleaseRefusedError) -> Generator[Call, Any, Outcome]:
         """Records a refusal; it counts only once it is recorded."""
         refusal = _refused(error)
         for _ in range(MAX_WRITE_ATTEMPTS):
             version, record = yield from self._read_record()
-            decided = yield from self._decided(record)
+            decided = yield from self._recorded(record)
             if decided:
                 return decided
             refused = dataclasses.replace(
@@ -375,11 +369,35 @@
         raise NoteError(message, "Set base to the version in force.")
 
 
-def _in_force(
-    note: Note, head: Head, known: dict[str, Part]
-) -> Generator[Call, Any, release.InForce]:
+def _own_entry(note: Note, accepted: tuple[Entry, ...]) -> Entry | None:
+    return next((entry for entry in accepted if entry.note_id == note.id), None)
+
+
+def _plan(
+    note: Note,
+    head: Head,
+    accepted: tuple[Entry, ...],
+    known: dict[str, Part],
+    operator: str = "",
+    now_ms: int = 0,
+) -> Generator[Call, Any, release.Plan]:
+    objection = release.overlap(note, accepted)
+    if objection:
+        raise ReleaseRefusedError(objection.reason, objection.remedy)
     parts = yield from read_parts(head, release.services_needed(note, head), known)
-    return release.InForce(head, parts)
+    return release.plan(note, release.InForce(head, parts), operator, now_ms)
+
+
+def _decided(note: Note, record: NoteRecord) -> Outcome | None:
+    """Returns the outcome that follows from the object of the note's name, or None."""
+    if record.note_id != note.id:
+        reason = f"the name {note.name} belongs to note {record.note_id}."
+        return Refused(reason, "Give this note a name that was never used.")
+    if record.state is NoteState.ACCEPTED:
+        return Accepted(record.version, is_repeat=True)
+    if record.state is NoteState.REFUSED:
+        return Refused(record.refusal, record.remedy)
+    return None
 
 
 def _refused(error: ReleaseRefusedError) -> Refused:
--- a/packages/core/orioleloft_core/release.py
+++ b/packages/core/orioleloft_core/release.py
@@ -360,4 +360,4 @@
         size = headdocument.document_bytes(document)
         if size > headdocument.MAX_DOCUMENT_BYTES:
             reason = f"the object {name} would have {size} bytes, over the platform's limit."
-            raise NoteError(reason, "Use fewer targets in a service, or fewer customers.")
+            raise NoteError(reason, "Put less into it, in a note under a new name.")
