Tests of notes, releases, object store, catalog store and command; docs/notes.md

Cause: only the state machine tested these parts. Ruled out: parameterised async tests (nose2 does not await them, so they pass without running); a plain function runs each on its own loop. Change: tests, operators' page, faults of a note no longer repeat what follows from a wrong base, plan tells that a note is in force.

--- a/packages/core/orioleloft_core/note.py
+++ b/packages/core/orioleloft_core/note.py
@@ -257,12 +257,12 @@
             for section, line in heads.items()
             if section != "note" and (edit := self._edit(section, line)) is not None
         )
-        self._check_together(edits, base)
-        if not edits:
+        self._check_together(edits, base == 0)
+        if set(self._values) <= {"note"}:
             self._fault(1, "the note changes nothing.", "Add a section that changes something.")
         section = self._values.get("note", {})
         author, description = section.get("author", ""), section.get("description", "")
-        return Note(name, base, author, description, edits, self._text)
+        return Note(name, base or 0, author, description, edits, self._text)
 
     def _scan(self) -> None:
         """Records the lines of sections and keys, and finds those given twice.
@@ -312,12 +312,13 @@
         found = {name: dict(parser.items(name)) for name in parser.sections()}
         return {name: keys for name, keys in found.items() if (name, "") in self._lines}
 
-    def _note_section(self) -> tuple[str, int]:
+    def _note_section(self) -> tuple[str, int | None]:
+        """Returns name and base; the base is None if it is missing or wrong."""
         values = self._values.get("note")
         if values is None:
             remedy = "Add [note] with name, base and author."
             self._fault(1, "the section [note] is missing.", remedy)
-            return "", 0
+            return "", None
         line = self._lines[("note", "")]
         for key in values:
             if key not in _NOTE_KEYS:
@@ -326,8 +327,8 @@
             if not values.get(key):
                 self._fault(line, f"the key {key} of [note] is missing.", f"Add {key} = ...")
         name = self._value("note", "name", _name("name")).get("name", "")
-        base = self._value("note", "base", _base).get("base", 0)
-        return str(name), int(base)
+        base = self._value("note", "base", _base).get("base")
+        return str(name), None if base is None else int(base)
 
     def _edit(self, section: str, line: int) -> Edit | None:
         word, _, name = section.partition(" ")
@@ -399,20 +400,20 @@
             self._fault(line, f"{key} = {text} is wrong.", f"Use {error}.")
             return {}
 
-    def _check_together(self, edits: Iterable[Edit], base: int) -> None:
+    def _check_together(self, edits: Iterable[Edit], is_first: bool) -> None:
         """Checks what one section says about another."""
         edits = tuple(edits)
         changes = {edit.path: edit.change for edit in edits}
         addresses: dict[str, Edit] = {}
         for edit in edits:
-            if base == 0 and edit.change is not Change.ADD:
+            if is_first and edit.change is not Change.ADD:
                 message = f"[{edit.kind} {edit.name}] changes what base 0 does not have."
                 self._fault(edit.line, message, "Add it, or set base to the version in force.")
             if edit.kind is Kind.TARGET and edit.change is not Change.WITHDRAW:
-                self._check_target(edit, changes, base)
+                self._check_target(edit, changes, is_first)
                 self._check_address(edit, addresses)
 
-    def _check_target(self, edit: Edit, changes: Mapping[str, Change], base: int) -> None:
+    def _check_target(self, edit: Edit, changes: Mapping[str, Change], is_first: bool) -> None:
         zone = edit.fields.get("zone")
         for kind, name in ((Kind.SERVICE, edit.service), (Kind.ZONE, zone)):
             if name is None:
@@ -421,7 +422,7 @@
             if change is Change.WITHDRAW:
                 message = f"target {edit.name} uses the {kind} {name} that this note withdraws."
                 self._fault(edit.line, message, f"Use another {kind}, or keep this one.")
-            elif change is None and base == 0:
+            elif change is None and is_first:
                 message = f"target {edit.name} uses the unknown {kind} {name}."
                 self._fault(edit.line, message, f"Add a section [{kind} {name}].")
 
--- a/packages/core/orioleloft_core/status.py
+++ b/packages/core/orioleloft_core/status.py
@@ -65,7 +65,7 @@
         """
         fields = _checked(cls, document)
         targets = document.get("targets", [])
-        if not isinstance(targets, list):
+        if not isinstance(targets, list | tuple):
             raise _error("targets")
         listed = tuple(TargetStatus(**_checked(TargetStatus, target)) for target in targets)
         return cls(**fields, targets=listed)
--- a/tests/test_release_stateful.py
+++ b/tests/test_release_stateful.py
@@ -20,6 +20,8 @@
     PlatformDownError,
 )
 
+from tests.support.fakeplatform import FakePlatform
+
 IS_FUZZ = bool(os.environ.get("ORIOLELOFT_FUZZ"))
 EXAMPLES = 3000 if IS_FUZZ else 200
 STEPS = 80
@@ -36,26 +38,6 @@
 PORTS = (9001, 9002, 9003, 9004)
 
 
-class FakePlatform:
-    """Objects in memory, each with all its values; writes can be delivered late."""
-
-    def __init__(self):
-        self.objects = {}
-        self.late = []
-
-    def read(self, name, is_stale=False):
-        values = self.objects.get(name, [])
-        version = len(values) - (1 if is_stale and values else 0)
-        return publishing.Found(version, values[version - 1]) if version else None
-
-    def write(self, call):
-        values = self.objects.setdefault(call.name, [])
-        if len(values) != getattr(call, "version", 0):
-            raise ConflictError(call.name)
-        values.append(call.value)
-        return len(values)
-
-
 @dataclasses.dataclass
 class Run:
     """One publisher: its generator, the call it waits for and the head writes that it sent."""
