Test that a stale head does not refuse a note

Ruled out: a refusal check in the state machine's oracle (it would need the release rules again). Change: a test that serves one stale head between the base check and the plan.

--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -173,6 +173,21 @@
         self.assertFalse([name for name in names if name.startswith("service/")])
         self.assertLess(len(names), 14)
 
+    def test_stale_head_does_not_refuse(self):
+        """Guards against a final refusal because a lagging read shows less than the base."""
+        self.assertEqual(self.publish(text("v2", 1, ADD_T)), Accepted(2))
+        content = text("n", 2, ("target ledger/l-02", "change = change", "state = draining"))
+        steps = publishing.publish(note.parse(content), "ana", 1000)
+        heads = [call := next(steps)]
+        with self.assertRaises(StopIteration) as end:
+            while True:
+                result = self.platform.execute(call)
+                if call == publishing.Read(("head",)):
+                    heads.append(call)
+                    result = (self.platform.read("head", is_stale=len(heads) == 3),)
+                call = steps.send(result)
+        self.assertEqual(end.exception.value, Accepted(3))
+
     def test_lost_answer_and_then_an_outage(self):
         """Guards against "nothing was released" while the lost write may be in force."""
         steps = publishing.publish(note.parse(text("n", 1, CLOSE)), "ana", 1000)
