--- a/packages/node/orioleloftd/links.py
+++ b/packages/node/orioleloftd/links.py
@@ -19,7 +19,7 @@
 from orioleloftd.logs import log_event
 
 QUEUE_MESSAGES = 1000
-ZAP_DOMAIN = b"fleet"
+ZAP_DOMAIN = "fleet"
 # ZeroMQ's own heartbeat closes connections to peers that vanished without closing them.
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
@@ -59,12 +59,7 @@
         self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
         self._router: zmqstream.ZMQStream | None = None
         self._dealers: dict[str, zmq.Socket] = {}
-        own = self._seats[settings.node.name]
-        if not settings.fleet.public_key and not is_loopback(own.peer_address):
-            raise SettingsError(
-                f"{own.peer_address} is not a loopback address and the fleet has no keys.",
-                "Set public_key and secret_key in [fleet].",
-            )
+        check_keys(settings)
 
     def start(self) -> None:
         """Binds the own address and connects to all other seats."""
@@ -73,7 +68,7 @@
             self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
             self._authenticator.start()
             allowed = _FleetKey(self._settings.fleet.public_key.encode(), self._counts)
-            self._authenticator.configure_curve_callback("*", allowed)
+            self._authenticator.configure_curve_callback(ZAP_DOMAIN, allowed)
         own = self._settings.node.name
         self._bind(self._seats[own])
         for name, seat in self._seats.items():
@@ -113,7 +108,7 @@
         socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
         if self._settings.fleet.public_key:
             socket.setsockopt(zmq.CURVE_SERVER, 1)
-            socket.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
+            socket.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN.encode())
         socket.bind(f"tcp://{seat.peer_address}")
         self._router = zmqstream.ZMQStream(socket)
         self._router.on_recv(self._received)
@@ -180,10 +175,28 @@
         return False
 
 
+def check_keys(settings: Settings) -> None:
+    """Checks that the keys belong together, and that a port without keys is on loopback.
+
+    Raises:
+        SettingsError: one of both does not hold.
+    """
+    fleet = settings.fleet
+    if not fleet.public_key:
+        own = next(seat for seat in fleet.seats if seat.name == settings.node.name)
+        if not is_loopback(own.peer_address):
+            raise SettingsError(
+                f"{own.peer_address} is not a loopback address and the fleet has no keys.",
+                "Set public_key and secret_key in [fleet].",
+            )
+    elif zmq.curve_public(fleet.secret_key.encode()) != fleet.public_key.encode():
+        raise SettingsError(
+            "[fleet] public_key: it does not belong to secret_key.",
+            "Copy both keys from the same run of the command in docs/operators.md.",
+        )
+
+
 def is_loopback(address: str) -> bool:
     """Tells whether the host of `host:port` is a loopback IP number."""
     host = address.rpartition(":")[0].strip("[]")
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return False
+    return ipaddress.ip_address(host).is_loopback
--- a/packages/node/orioleloftd/main.py
+++ b/packages/node/orioleloftd/main.py
@@ -12,7 +12,7 @@
 from orioleloft_core.errors import SettingsError
 from orioleloft_core.settings import Settings
 
-from orioleloftd import logs
+from orioleloftd import links, logs
 from orioleloftd.runner import Runner
 
 EXIT_SETTINGS = 2
@@ -25,19 +25,35 @@
 def main(argv: Sequence[str]) -> int:
     """Checks the settings and runs the node; returns the exit code."""
     del argv
+    if _CHECK.value:
+        return check(_SETTINGS.value)
     try:
-        settings = settings_module.read_file(_SETTINGS.value)
+        settings = _read(_SETTINGS.value)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    if _CHECK.value:
-        print(f"{_SETTINGS.value}: no faults found")
-        return 0
     logs.set_up(settings.output.log_level, settings.node.name)
     asyncio.run(_serve(settings))
     return 0
 
 
+def check(path: str) -> int:
+    """Prints all faults of a settings file; returns the exit code."""
+    try:
+        _read(path)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    print(f"{path}: no faults found")
+    return 0
+
+
+def _read(path: str) -> Settings:
+    settings = settings_module.read_file(path)
+    links.check_keys(settings)
+    return settings
+
+
 async def _serve(settings: Settings) -> None:
     # Imported here so that --check works without the parts that need sockets.
     from orioleloft_core.node import Node
