--- a/packages/node/orioleloftd/logs.py
+++ b/packages/node/orioleloftd/logs.py
@@ -29,7 +29,7 @@
         return json.dumps(line, default=str)
 
 
-def log_event(logger: logging.Logger, name: str, **fields: object) -> None:
+def log_event(logger: logging.Logger, name: str, /, **fields: object) -> None:
     """Writes an event with named fields."""
     logger.info(name, extra={_FIELDS: fields})
 
