--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -126,7 +126,7 @@
     Args:
         answer: bytes to write for each request.
         closes: whether the connection is closed after the answer.
-        reads_body: whether bodies are read before the answer is written.
+        reads_body: whether bodies are read; if not, nothing is read after the first head.
     """
 
     def __init__(self, answer=b"", closes=False, reads_body=True):
@@ -136,6 +136,7 @@
         self.requests = []
         self.opened = 0
         self.closed = 0
+        self._writers = []
 
     async def start(self):
         """Listens on a free port."""
@@ -147,8 +148,14 @@
         """Closes the port."""
         self._server.close()
 
+    def hang_up(self):
+        """Closes all connections."""
+        for writer in self._writers:
+            writer.close()
+
     async def _serve(self, reader, writer):
         self.opened += 1
+        self._writers.append(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -157,6 +164,8 @@
                     head += await reader.readexactly(int(length.group(1)))
                 self.requests.append(head)
                 writer.write(self.answer)
+                if not self.reads_body:
+                    await asyncio.Event().wait()
                 if self.closes:
                     break
         except (EOFError, asyncio.CancelledError, asyncio.LimitOverrunError, ConnectionError):
--- a/tests/test_targetclient.py
+++ b/tests/test_targetclient.py
@@ -173,8 +173,9 @@
     @fakes.async_test
     async def test_closed_connection_is_not_reused(self):
         """Guards against a request that is written to a connection known to be closed."""
-        raw = await fakes.RawTarget(OK, closes=True).start()
+        raw = await fakes.RawTarget(OK).start()
         await self.result(raw)
+        raw.hang_up()
         await fakes.until(lambda: raw.closed)
         result = await self.result(raw, method="POST")
         self.assertEqual((result.ending, result.reused), (Ending.ANSWERED, False))
@@ -198,18 +199,21 @@
         """Guards against a check that is out of date once the connection is open."""
         raw = await fakes.RawTarget(OK).start()
         self.send(raw)
-        self.allows_start = False
+        # This runs after the first step of the dispatch, which begins to connect.
+        asyncio.get_running_loop().call_soon(setattr, self, "allows_start", False)
         await fakes.until(lambda: self.results)
-        self.assertEqual(raw.requests, [])
+        self.assertEqual((self.results[0].ending, raw.requests), (Ending.NOT_SENT, []))
         self.client.close()
 
     @fakes.async_test
     async def test_not_sent_after_deadline(self):
         """Guards against a request that starts when its caller no longer waits."""
         raw = await fakes.RawTarget(OK).start()
+        await self.result(raw)
         self.now = 31.0
         self.assertEqual((await self.result(raw)).ending, Ending.NOT_SENT)
-        self.assertEqual(raw.requests, [])
+        self.assertEqual((len(raw.requests), self.starts), (1, ["d1"]))
+        self.client.close()
 
     @fakes.async_test
     async def test_refused_connection_is_not_sent(self):
