--- a/packages/node/orioleloftd/links.py
+++ b/packages/node/orioleloftd/links.py
@@ -19,7 +19,7 @@
 from orioleloftd.logs import log_event
 
 QUEUE_MESSAGES = 1000
-ZAP_DOMAIN = b"fleet"
+ZAP_DOMAIN = "fleet"
 # ZeroMQ's own heartbeat closes connections to peers that vanished without closing them.
 HEARTBEAT_MS = 1000
 HEARTBEAT_TIMEOUT_MS = 3000
@@ -68,7 +68,7 @@
             self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
             self._authenticator.start()
             allowed = _FleetKey(self._settings.fleet.public_key.encode(), self._counts)
-            self._authenticator.configure_curve_callback("*", allowed)
+            self._authenticator.configure_curve_callback(ZAP_DOMAIN, allowed)
         own = self._settings.node.name
         self._bind(self._seats[own])
         for name, seat in self._seats.items():
@@ -108,7 +108,7 @@
         socket.setsockopt(zmq.ROUTER_HANDOVER, 1)
         if self._settings.fleet.public_key:
             socket.setsockopt(zmq.CURVE_SERVER, 1)
-            socket.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN)
+            socket.setsockopt(zmq.ZAP_DOMAIN, ZAP_DOMAIN.encode())
         socket.bind(f"tcp://{seat.peer_address}")
         self._router = zmqstream.ZMQStream(socket)
         self._router.on_recv(self._received)
--- a/packages/node/orioleloftd/main.py
+++ b/packages/node/orioleloftd/main.py
@@ -12,6 +12,7 @@
 from orioleloft_core import settings as settings_module
 from orioleloft_core.errors import SettingsError
 from orioleloft_core.settings import Settings
+
 from orioleloftd import links, logs
 from orioleloftd.runner import Runner
 
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -127,7 +127,7 @@
     Args:
         answer: bytes to write for each request.
         closes: whether the connection is closed after the answer.
-        reads_body: whether bodies are read before the answer is written.
+        reads_body: whether bodies are read; if not, nothing is read after the first head.
     """
 
     def __init__(self, answer=b"", closes=False, reads_body=True):
@@ -137,6 +137,7 @@
         self.requests = []
         self.opened = 0
         self.closed = 0
+        self._writers = []
 
     async def start(self):
         """Listens on a free port."""
@@ -148,8 +149,14 @@
         """Closes the port."""
         self._server.close()
 
+    def hang_up(self):
+        """Closes all connections."""
+        for writer in self._writers:
+            writer.close()
+
     async def _serve(self, reader, writer):
         self.opened += 1
+        self._writers.append(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -158,6 +165,8 @@
                     head += await reader.readexactly(int(length.group(1)))
                 self.requests.append(head)
                 writer.write(self.answer)
+                if not self.reads_body:
+                    await asyncio.Event().wait()
                 if self.closes:
                     break
         except (EOFError, asyncio.CancelledError, asyncio.LimitOverrunError, ConnectionError):
