Connect the whole core: keys, grants, leases and spread behind one node

Cause: the interim node routed on its own view and had no keys, leases or spread. Ruled out: keeping the interim node as the baseline; Admission has the view mode for that.

--- a/packages/core/orioleloft_core/admission.py
+++ b/packages/core/orioleloft_core/admission.py
@@ -141,6 +141,10 @@
         """Tells, right before the first byte, whether a dispatch may start."""
         return self._dispatches.may_start(now, dispatch_id)
 
+    def deny(self, dispatch_id: str) -> bool:
+        """Keeps a dispatch from starting; returns False, as `may_start` would."""
+        return self._dispatches.deny(dispatch_id)
+
     def on_finished(self, now: float, dispatch_id: str, result: DispatchResult) -> list[Effect]:
         """Takes the result of a dispatch: answers, retries or waits for a second dispatch."""
         attempt, effects = self._dispatches.finish(now, dispatch_id, result)
--- a/packages/core/orioleloft_core/catalog.py
+++ b/packages/core/orioleloft_core/catalog.py
@@ -36,7 +36,7 @@
     name: str
     slots: int
     connections: int = 200
-    overlap: int = 1
+    overlap: int = 2
     cold_limit: int = 1
     service_ms: int = 5
 
--- a/packages/core/orioleloft_core/dispatches.py
+++ b/packages/core/orioleloft_core/dispatches.py
@@ -99,6 +99,13 @@
             return False
         return True
 
+    def deny(self, dispatch_id: str) -> bool:
+        """Keeps a dispatch from starting; returns False."""
+        attempt = self._attempts.get(dispatch_id)
+        if attempt is not None:
+            attempt.is_denied = True
+        return False
+
     def finish(
         self, now: float, dispatch_id: str, result: DispatchResult
     ) -> tuple[Attempt | None, list[Effect]]:
--- a/packages/core/orioleloft_core/holdings.py
+++ b/packages/core/orioleloft_core/holdings.py
@@ -75,9 +75,18 @@
         grantor = self._grantors.get(report.group)
         return grantor.bypass_report(now, seat, report) if grantor else []
 
-    def probed(self, now: float, target_id: str, report: LoadReport | None) -> list[Effect]:
+    def probed(self, now: float, target_id: str, report: LoadReport | None) -> None:
         """Takes the result of a probe."""
-        return self._to_all(lambda grantor: grantor.probed(now, target_id, report))
+        for grantor in self._grantors.values():
+            grantor.probed(now, target_id, report)
+
+    def phase(self, target_id: str) -> str | None:
+        """Returns the phase of a target whose group this node holds, or None."""
+        for grantor in self._grantors.values():
+            phase = grantor.phase(target_id)
+            if phase is not None:
+                return phase.value
+        return None
 
     def _usable(self, now: float, group: str) -> Grantor | None:
         if not self._lease.may_use(now, group):
@@ -100,7 +109,8 @@
         return effects
 
     def _drop(self, now: float, group: str) -> list[Effect]:
-        return self._grantors.pop(group).refuse_waiting(now, Code.NODE_ISOLATED)
+        # A reset refuses the asks that wait, so that their seats look for another way.
+        return self._grantors.pop(group).reset(now)
 
     def _to_all(self, call: Callable[[Grantor], list[Effect]]) -> list[Effect]:
         effects: list[Effect] = []
--- a/packages/core/orioleloft_core/trace.py
+++ b/packages/core/orioleloft_core/trace.py
@@ -42,7 +42,7 @@
 
 
 class Recorder:
-    """Passes events to a node and writes them with their effects to a file."""
+    """Writes a node's events and their effects to a file."""
 
     def __init__(self, node: Node, seed: int, file: TextIO) -> None:
         """Writes the header.
@@ -52,7 +52,6 @@
             seed: seed of the node's random source.
             file: file open for writing text.
         """
-        self._node = node
         self._file = file
         header = {
             "trace": TRACE_VERSION,
@@ -63,9 +62,8 @@
         }
         self._write(header)
 
-    def handle(self, now: float, event: Event) -> list[Effect]:
-        """Passes an event to the node; see `Node.handle`."""
-        effects = self._node.handle(now, event)
+    def record(self, now: float, event: Event, effects: Iterable[Effect]) -> None:
+        """Writes one event that the node has handled, with what it returned."""
         self._write(
             {
                 "now": now,
@@ -73,7 +71,6 @@
                 "effects": _plain_effects(effects),
             }
         )
-        return effects
 
     def _write(self, line: dict[str, Any]) -> None:
         self._file.write(json.dumps(line, separators=(",", ":")) + "\n")
--- a/packages/node/orioleloftd/main.py
+++ b/packages/node/orioleloftd/main.py
@@ -17,6 +17,7 @@
 
 EXIT_SETTINGS = 2
 INCARNATION_BYTES = 8
+SEED_BITS = 64
 
 _SETTINGS = flags.DEFINE_string("settings", None, "settings file of the node")
 _CHECK = flags.DEFINE_boolean("check", False, "check the settings file and exit")
@@ -57,14 +58,21 @@
 async def _serve(settings: Settings) -> None:
     # Imported here so that --check works without the parts that need sockets.
     from orioleloft_core.node import Node
+    from orioleloft_core.trace import Recorder
     from orioleloft_platform.catalogstore import CatalogStore
     from orioleloft_platform.objectstore import HttpObjectStore
 
     incarnation = secrets.token_hex(INCARNATION_BYTES)
-    node = Node(settings, incarnation, int(time.time() * 1000), random.Random(incarnation))
+    seed = secrets.randbits(SEED_BITS)
+    node = Node(settings, incarnation, int(time.time() * 1000), random.Random(seed))
     store = HttpObjectStore(settings.platform.address)
     platform = CatalogStore(store, settings.platform.watch_ms, boot_time)
-    await Runner(settings, node, platform, incarnation).run()
+    if not settings.output.trace_path:
+        await Runner(settings, node, platform, incarnation).run()
+        return
+    with open(settings.output.trace_path, "w", encoding="utf-8") as file:
+        recorder = Recorder(node, seed, file)
+        await Runner(settings, node, platform, incarnation, record=recorder.record).run()
 
 
 def run() -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,6 +3,7 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core.admission import MAX_UNSENT, Admission
 from orioleloft_core.catalog import Catalog, Service, Target, Zone
 from orioleloft_core.effects import Answer, CancelDispatch, Dispatch, Send
@@ -19,7 +20,6 @@
 )
 from orioleloft_core.request import DispatchResult, Ending, LoadReport, Warmth
 from orioleloft_core.settings import RoutingMode
-
 from tests.support import requester
 
 HOLDER = "entry-02"
--- a/tests/test_bypass.py
+++ b/tests/test_bypass.py
@@ -4,9 +4,9 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core.bypass import Bypass
 from orioleloft_core.request import DispatchResult, Ending, LoadReport, Warmth
-
 from tests.support import requester
 
 NONE = frozenset()
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -4,13 +4,13 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core import idempotency
 from orioleloft_core.effects import Answer, Send
 from orioleloft_core.errors import Code, Outcome
 from orioleloft_core.idempotency import AnswerNow, AskOwner, Join, KeyTable, Run
 from orioleloft_core.messages import KeyQuery, NodeFacts
 from orioleloft_core.request import Reply, error_reply
-
 from tests.support import requester
 
 OWN, PEER, OTHER = "a" * 16, "b" * 16, "c" * 16
--- a/tests/test_idempotency_stateful.py
+++ b/tests/test_idempotency_stateful.py
@@ -6,12 +6,12 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
 from orioleloft_core.effects import Answer, Send
 from orioleloft_core.errors import Code, Outcome
 from orioleloft_core.idempotency import AnswerNow, AskOwner, KeyTable, Run, prefix
 from orioleloft_core.messages import KeyQuery, NodeFacts
 from orioleloft_core.request import Reply, error_reply
-
 from tests.support import requester
 
 EXAMPLES = 300
--- a/tests/test_viewrouting.py
+++ b/tests/test_viewrouting.py
@@ -5,8 +5,8 @@
 import unittest
 
 from nose2.tools import params
-from orioleloft_core.viewrouting import ViewRouting
 
+from orioleloft_core.viewrouting import ViewRouting
 from tests.support import requester
 
 NONE = frozenset()
