--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -321,6 +321,7 @@
         if sent_at is not None:
             self._lease.on_pong(now, pong.facts, sent_at)
             self._spread.on_facts(now, pong.facts, sent_at)
+            self._routing.on_heard(now, pong.facts.seat)
         return []
 
     def _on_tick(self, now: float) -> list[Effect]:
