--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -89,6 +89,7 @@
     complete: int = 0
     refused: int = 0
     failed: int = 0
+    small_not_complete: int = 0
 
 
 def new_histogram() -> HdrHistogram:
@@ -242,6 +243,8 @@
                 self.outcomes.failed += 1
         self.outcomes.latency.record_value(micros)
         customer = request_id.partition("/")[0]
+        if outcome is not Outcome.COMPLETE and customer != "large":
+            self.outcomes.small_not_complete += 1
         self.outcomes.by_customer.setdefault(customer, new_histogram()).record_value(micros)
         if self.on_answer:
             self.on_answer(arrived, self.now, outcome)
