--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,45 @@
+"""Tests of token buckets and back-off."""
+
+import random
+import unittest
+
+from nose2.tools import params
+from orioleloft_core.budget import Backoff, RetryBudget, TokenBucket
+
+
+class BudgetTest(unittest.TestCase):
+    @params((0.0, 10), (1.0, 12), (4.0, 18), (1000.0, 20))
+    def test_rate_and_burst(self, idle, taken):
+        """Guards against more calls than the burst and the rate allow."""
+        bucket = TokenBucket(2, 10)
+        count = sum(bucket.take(0.0) for _ in range(50))
+        count += sum(bucket.take(idle) for _ in range(50))
+        self.assertEqual(count, taken)
+
+    def test_clock_that_steps_back(self):
+        """Guards against tokens gained twice for the same time."""
+        bucket = TokenBucket(1, 1)
+        self.assertEqual([bucket.take(now) for now in (5, 0, 5, 6, 6)], [1, 0, 0, 1, 0])
+
+    @params((0.1, 1000, 100), (0.02, 1000, 20), (0.1, 9, 0))
+    def test_retries_are_a_share(self, share, requests, retries):
+        """Guards against retries beyond the share of requests, and against rounding loss."""
+        budget = RetryBudget(share, 1)
+        self.assertTrue(budget.take())
+        taken = 0
+        for _ in range(requests):
+            budget.earn()
+            taken += budget.take()
+        self.assertEqual(taken, retries)
+
+    def test_backoff_bounds(self):
+        """Guards against delays that are short after many failures or above the cap."""
+        backoff = Backoff(0.2, 10.0, random.Random(1))
+        for bound in (0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 10.0, 10.0):
+            self.assertTrue(bound / 2 <= backoff.next_delay() <= bound)
+        backoff.reset()
+        self.assertLessEqual(backoff.next_delay(), 0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
