--- a/packages/core/orioleloft_core/grantor.py
+++ b/packages/core/orioleloft_core/grantor.py
@@ -56,6 +56,11 @@
         """Number of grants that have not come back."""
         return len(self._ledger)
 
+    def phase(self, target_id: str) -> Phase | None:
+        """Returns the phase of a target, or None if it is not in the group."""
+        target = self._targets.get(target_id)
+        return target.phase if target else None
+
     def configure(self, now: float, catalog: Catalog) -> list[Effect]:
         """Adopts a catalog; no new grant goes to a closed zone or a draining target."""
         self._catalog = catalog
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -4,6 +4,7 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core.budget import Backoff, RetryBudget, TokenBucket
 
 
--- a/tests/test_grantor.py
+++ b/tests/test_grantor.py
@@ -3,6 +3,7 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core.effects import Probe, Send
 from orioleloft_core.grantor import Grantor
 from orioleloft_core.messages import (
@@ -17,7 +18,6 @@
     Withdraw,
 )
 from orioleloft_core.suspects import Suspects
-
 from tests.support import group
 
 SEAT = group.SEATS[0]
--- a/tests/test_grantor_stateful.py
+++ b/tests/test_grantor_stateful.py
@@ -9,12 +9,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
 from orioleloft_core.effects import Send
 from orioleloft_core.grantor import Grantor
 from orioleloft_core.messages import Ask, BypassReport, Granted, Held, Refused, Release, Withdraw
 from orioleloft_core.request import LoadReport, Warmth
 from orioleloft_core.suspects import Suspects
-
 from tests.support import group
 
 IS_FUZZ = bool(os.environ.get("ORIOLELOFT_FUZZ"))
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -3,8 +3,8 @@
 import unittest
 
 from nose2.tools import params
-from orioleloft_core.probing import PROBE_BURST, Prober
 
+from orioleloft_core.probing import PROBE_BURST, Prober
 from tests.support import group
 
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -3,9 +3,9 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core import suspects
 from orioleloft_core.messages import Suspect
-
 from tests.support import group
 
 
--- a/tests/test_targetstate.py
+++ b/tests/test_targetstate.py
@@ -3,10 +3,10 @@
 import unittest
 
 from nose2.tools import params
+
 from orioleloft_core.grantledger import Grant
 from orioleloft_core.request import LoadReport, Warmth
 from orioleloft_core.targetstate import Phase, TargetState
-
 from tests.support import group
 
 SEAT = group.SEATS[0]
