Measure slopes of control work and end work per tick that follows the fleet's size

A profile named four causes: suspicion of each seat and the order of watchers in each tick; a new placement of all groups in each tick; leases recomputed in each tick; a look at each group of the catalog and at each held target in each tick. A release went to all grantors of the node.

Ruled out: heartbeats and codec; they take less than a third at every size. A slower tick was not taken, because deadlines and hedges need it.

Change: suspected seats are remembered until the first moment at which they can change. A proposal is computed again only when seats, epoch, groups or zones have changed. Once loaded, a lease is recomputed by acknowledgements and assignments only. Holdings look at the own leases. Targets are looked after every 100 ms; queues and deadlines stay at each tick. A release goes to the group that its grant id names; a broken target is still told to all.

--- a/packages/core/orioleloft_core/grantledger.py
+++ b/packages/core/orioleloft_core/grantledger.py
@@ -7,6 +7,9 @@
 # two requests use one slot, so the age covers slow links.
 HELD_GRACE_SECONDS = 2.0
 
+# Seat, opening time and number follow the group in a grant id; none of them has a dot.
+ID_PARTS = 3
+
 _MICROSECONDS = 1_000_000
 
 
@@ -33,6 +36,12 @@
     deadline: float
 
 
+def group_of(grant_id: str) -> str:
+    """Returns the group that a grant id names, or an empty string for another text."""
+    parts = grant_id.rsplit(".", ID_PARTS)
+    return parts[0] if len(parts) == ID_PARTS + 1 else ""
+
+
 class GrantLedger:
     """Keeps the outstanding grants and names new ones.
 
--- a/packages/core/orioleloft_core/grantor.py
+++ b/packages/core/orioleloft_core/grantor.py
@@ -26,6 +26,10 @@
 # Weight of one request in the mean time that a grant is held.
 HOLD_SHARE = 0.05
 
+# Silence, rests and pauses between probes last a second or more, so the targets need not be looked
+# at in every tick. At 6,600 targets, that took most of a node's time for control.
+UPKEEP_SECONDS = 0.1
+
 
 class Grantor:
     """Admission control for one group of targets.
@@ -45,6 +49,8 @@
         self._hold_ms = 0.0
         self._answers = 0
         self._deferred: list[Effect] = []
+        self._next_upkeep_at = 0.0
+        self._next_probes_at = 0.0
 
     @property
     def waiting(self) -> int:
@@ -123,14 +129,11 @@
         for grant in self._ledger.expire(now):
             self._target_of(grant).give_back(grant)
         effects, self._deferred = self._deferred, []
-        for target in self._targets:
-            before = target.phase
-            target.check_silence(now)
-            target.end_rest(now)
-            effects += _phase_change(target, before)
-        self._targets.refresh(now)
-        self._queue.forget()
-        self._prober.forget(now)
+        if now >= self._next_upkeep_at:
+            self._next_upkeep_at = now + UPKEEP_SECONDS
+            effects += self._upkeep(now)
+        if not len(self._queue):
+            return effects
         return effects + self._refuse_overdue(now) + self._serve(now)
 
     def probed(self, now: float, target_id: str, report: LoadReport | None) -> None:
@@ -150,9 +153,25 @@
 
     def due_probes(self, now: float) -> list[Effect]:
         """Returns the probes to send now."""
+        if now < self._next_probes_at:
+            return []
+        self._next_probes_at = now + UPKEEP_SECONDS
         heard_at = [(target.id, target.heard_at) for target in self._targets if target.is_open]
         return list(self._prober.due(now, heard_at))
 
+    def _upkeep(self, now: float) -> list[Effect]:
+        """Ends silence and rests of targets, and drops what no longer counts."""
+        effects: list[Effect] = []
+        for target in self._targets:
+            before = target.phase
+            target.check_silence(now)
+            target.end_rest(now)
+            effects += _phase_change(target, before)
+        self._targets.refresh(now)
+        self._queue.forget()
+        self._prober.forget(now)
+        return effects
+
     def _refusal(self, now: float, ask: Ask) -> Code | None:
         if self._suspects.is_blocked(now, ask.fingerprint):
             return Code.CRASH_SUSPECT
--- a/packages/core/orioleloft_core/holdings.py
+++ b/packages/core/orioleloft_core/holdings.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable, Iterator
 
+from orioleloft_core import grantledger
 from orioleloft_core.catalog import Catalog
 from orioleloft_core.effects import Effect, Send
 from orioleloft_core.errors import Code
 from orioleloft_core.grantor import Grantor
 from orioleloft_core.lease import LeaseKeeper
 from orioleloft_core.messages import Ask, BypassReport, Held, Refused, Release, Withdraw
-from orioleloft_core.request import LoadReport
+from orioleloft_core.request import Ending, LoadReport
 from orioleloft_core.settings import Settings
 from orioleloft_core.suspects import Suspects
 
@@ -44,7 +45,7 @@
     def tick(self, now: float) -> list[Effect]:
         """Follows the leases, expires grants and starts due probes."""
         effects: list[Effect] = []
-        for group in self._catalog.groups:
+        for group in [*self._grantors, *self._lease.own_groups]:
             effects.extend(self._follow(now, group))
         for grantor in self._grantors.values():
             effects.extend(grantor.tick(now))
@@ -59,8 +60,15 @@
         return grantor.ask(now, seat, ask)
 
     def release(self, now: float, seat: str, release: Release) -> list[Effect]:
-        """Gives a grant back to the grantor that gave it."""
-        return self._to_all(lambda grantor: grantor.release(now, seat, release))
+        """Gives a grant back to the grantor that gave it.
+
+        All grantors hear of a broken target, as it may be in another group by now.
+        """
+        grantor = self._grantors.get(grantledger.group_of(release.grant_id))
+        is_broken = release.report is not None and release.report.ending == Ending.BROKEN
+        if grantor is None or is_broken:
+            return self._to_all(lambda grantor: grantor.release(now, seat, release))
+        return grantor.release(now, seat, release)
 
     def withdraw(self, now: float, seat: str, withdraw: Withdraw) -> list[Effect]:
         """Drops an ask that nobody waits for."""
@@ -95,7 +103,7 @@
 
     def _follow(self, now: float, group: str) -> list[Effect]:
         is_usable = self._lease.may_use(now, group)
-        if is_usable and group not in self._grantors:
+        if is_usable and group not in self._grantors and group in self._catalog.groups:
             return self._add(now, group)
         if not is_usable and group in self._grantors:
             return self._drop(now, group)
--- a/packages/core/orioleloft_core/lease.py
+++ b/packages/core/orioleloft_core/lease.py
@@ -18,7 +18,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 from orioleloft_core import hashing
 from orioleloft_core.effects import Effect, LogEvent, ReadAssignment, Send, WriteAssignment
@@ -112,6 +112,9 @@
         self._written: WriteAssignment | None = None
         self._proposal_due: float | None = None
         self._next_proposal_at = NEVER
+        # Inputs for which there is nothing to propose.
+        self._settled_groups: Collection[str] | None = None
+        self._settled_inputs: tuple[int, int, str, tuple[str, ...]] | None = None
 
     @property
     def epoch(self) -> int:
@@ -123,6 +126,11 @@
         """Epoch to state in heartbeats; 0 until the node may acknowledge one."""
         return self._epoch if self._is_loaded else 0
 
+    @property
+    def own_groups(self) -> Collection[str]:
+        """Groups that the adopted assignment gives to the own node."""
+        return self._fences.keys()
+
     def holder(self, group: str) -> Holder | None:
         """Returns the holder that the adopted assignment names for a group."""
         return self._holders.get(group)
@@ -193,7 +201,9 @@
         The check counts the acknowledgements itself; the call may come at any time.
         """
         self._note_start(now)
-        self._refresh(now)
+        # Later, only an acknowledgement or an assignment can change what is proven.
+        if not self._is_loaded:
+            self._refresh(now)
 
     def on_fetch(self, now: float, seat: str, fetch: FetchAssignment) -> list[Effect]:
         """Answers a peer that asks for a newer assignment than it has."""
@@ -232,7 +242,7 @@
     def propose(
         self,
         now: float,
-        groups: Iterable[str],
+        groups: Collection[str],
         membership: Membership,
         own_state: str,
         *,
@@ -242,7 +252,8 @@
 
         Args:
             now: seconds on the own clock.
-            groups: all groups of the catalog in force.
+            groups: all groups of the catalog in force; the same object as long as they stay the
+                same.
             membership: view of the fleet.
             own_state: own lifecycle state.
             closed_zones: availability zones that operators have taken out.
@@ -259,6 +270,9 @@
         if not self._may_propose(now, membership, own_state):
             self._proposal_due = None
             return effects
+        inputs = (membership.revision(now), self._epoch, own_state, tuple(closed_zones))
+        if groups is self._settled_groups and inputs == self._settled_inputs:
+            return effects
         serving = self._serving(now, membership, own_state)
         candidates = self._prefer_open(serving, closed_zones)
         unheard = {
@@ -267,6 +281,10 @@
             if seat not in membership.peers and not membership.is_suspected(now, seat)
         }
         kept = self._keep(set(groups), serving, unheard, candidates)
+        if not candidates or len(kept) == len(groups) == len(self._holders):
+            self._settled_groups, self._settled_inputs = groups, inputs
+            self._proposal_due = None
+            return effects
         return effects + self._proposal(now, set(groups), membership, kept, candidates)
 
     @property
@@ -389,10 +407,6 @@
         kept: dict[str, Holder],
         candidates: dict[str, str],
     ) -> list[Effect]:
-        is_settled = len(kept) == len(groups) == len(self._holders)
-        if not candidates or is_settled:
-            self._proposal_due = None
-            return []
         if self._proposal_due is None:
             self._proposal_due = now + self._proposal_delay(now, membership)
         if now < max(self._proposal_due, self._next_proposal_at) or not self._pacer.may_call(now):
--- a/packages/core/orioleloft_core/membership.py
+++ b/packages/core/orioleloft_core/membership.py
@@ -1,6 +1,7 @@
 """Heartbeats between the configured seats: peers' facts, suspicion and incarnations."""
 
 import dataclasses
+import math
 
 from orioleloft_core.effects import Effect, Send
 from orioleloft_core.lifecycle import STATES
@@ -9,6 +10,8 @@
 
 NEVER = float("-inf")
 
+ROUNDING_S = 1e-6
+
 
 @dataclasses.dataclass(frozen=True)
 class Peer:
@@ -48,6 +51,11 @@
         self._seq = 0
         self._started: float | None = None
         self._next_ping_at = NEVER
+        self._revision = 0
+        self._suspected: frozenset[str] = frozenset()
+        # The suspected seats stay the same for this time, unless one of them is heard.
+        self._suspected_from = math.inf
+        self._suspected_until = NEVER
 
     @property
     def seat(self) -> str:
@@ -64,6 +72,20 @@
         """Other seats heard so far, by seat."""
         return self._peers
 
+    def revision(self, now: float) -> int:
+        """Returns a number that changes with the suspected seats and with each peer's identity.
+
+        The identity is a peer's incarnation and lifecycle state.
+        """
+        self.suspected(now)
+        return self._revision
+
+    def suspected(self, now: float) -> frozenset[str]:
+        """Returns all seats that `is_suspected` tells of, without a look at each seat."""
+        if not self._suspected_from <= now < self._suspected_until:
+            self._find_suspected(now)
+        return self._suspected
+
     def tick(self, now: float, facts: NodeFacts) -> list[Effect]:
         """Sends a ping to each other seat when one is due.
 
@@ -135,6 +157,20 @@
         heard = sum(peer.confirmed_at > oldest for peer in self._peers.values())
         return heard + 1 >= self._majority
 
+    def _find_suspected(self, now: float) -> None:
+        found = frozenset(seat for seat in self._others if self.is_suspected(now, seat))
+        started = now if self._started is None else self._started
+        heard = (
+            self._peers[seat].heard_at if seat in self._peers else started
+            for seat in self._others
+            if seat not in found
+        )
+        self._suspected_from = now
+        # Rounding may put the sum a little after the time at which `is_suspected` changes.
+        self._suspected_until = min(heard, default=math.inf) + self._suspicion_s - ROUNDING_S
+        self._revision += found != self._suspected
+        self._suspected = found
+
     def _note_start(self, now: float) -> None:
         if self._started is None:
             self._started = now
@@ -145,10 +181,14 @@
 
     def _record(self, now: float, facts: NodeFacts, sent_at: float) -> None:
         known = self._peers.get(facts.seat)
+        if facts.seat in self._suspected:
+            self._suspected_until = NEVER
         if known is None or known.facts.incarnation != facts.incarnation:
+            self._revision += 1
             self._peers[facts.seat] = Peer(facts, now, sent_at)
             return
         newest = known.facts if _is_older(facts, known.facts) else facts
+        self._revision += newest.state != known.facts.state
         self._peers[facts.seat] = Peer(newest, now, max(sent_at, known.confirmed_at))
 
 
--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -330,10 +330,11 @@
         effects = self._follow_lifecycle(now)
         effects.extend(self._membership.tick(now, self._facts(now)))
         effects.extend(self._spread.tick(now, self._membership))
-        groups = tuple(self.catalog.groups)
         closed = [zone.name for zone in self.catalog.zones if not zone.is_open]
         effects.extend(
-            self._lease.propose(now, groups, self._membership, self.state, closed_zones=closed)
+            self._lease.propose(
+                now, self.catalog.groups, self._membership, self.state, closed_zones=closed
+            )
         )
         effects.extend(self._holdings.tick(now))
         effects.extend(self._routing.tick(now))
--- a/packages/core/orioleloft_core/spread.py
+++ b/packages/core/orioleloft_core/spread.py
@@ -54,6 +54,8 @@
         self._is_reading = False
         self._is_watching = False
         self._next_fetch_at = NEVER
+        self._absent: frozenset[str] | None = None
+        self._watchers: list[str] = []
 
     @property
     def catalog(self) -> Catalog:
@@ -71,8 +73,10 @@
     def tick(self, now: float, membership: Membership) -> list[Effect]:
         """Reads or watches the platform and fetches from peers, each when due."""
         effects = self._fetch(now, membership)
+        if self._is_reading:
+            return effects
         wait_for = self._due_read(now, membership)
-        if self._is_reading or wait_for is None or not self._pacer.may_call(now):
+        if wait_for is None or not self._pacer.may_call(now):
             return effects
         self._is_reading = True
         self._is_watching = wait_for > 0
@@ -181,16 +185,21 @@
         return None if self._has_contact(now) else 0
 
     def _is_watcher(self, now: float, membership: Membership) -> bool:
-        present = [name for name in self._names if not membership.is_suspected(now, name)]
-        return self._seat in hashing.order(WATCH_KEY, present)[:WATCHERS]
+        suspected = membership.suspected(now)
+        if suspected != self._absent:
+            present = [name for name in self._names if name not in suspected]
+            self._watchers = hashing.order(WATCH_KEY, present)[:WATCHERS]
+            self._absent = suspected
+        return self._seat in self._watchers
 
     def _fetch(self, now: float, membership: Membership) -> list[Effect]:
         if now < self._next_fetch_at:
             return []
+        suspected = membership.suspected(now)
         heard = {
             seat: peer.facts.catalog_version
             for seat, peer in membership.peers.items()
-            if not membership.is_suspected(now, seat)
+            if seat not in suspected
         }
         newest = max(heard.values(), default=0)
         if newest <= self._catalog.version:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Tests of heartbeats, suspicion and incarnations."""
 
+import random
 import unittest
 
 from nose2.tools import params
@@ -56,6 +57,31 @@
         facts = self.members.peers[PEER].facts
         self.assertEqual((facts.catalog_version, facts.state), (4, "leaving"))
 
+    def test_suspected_seats_are_those_that_are_suspected(self):
+        """Guards against remembered suspicions that outlive a heartbeat or miss a silence."""
+        rng = random.Random(5)
+        now, before = 0.0, None
+        for _ in range(2000):
+            now += rng.choice((0.01, 0.25, 1.0))
+            if rng.random() < 0.5:
+                seat = rng.choice(NAMES[1:])
+                self.members.on_ping(now, Ping(1, make_facts(seat)), self.facts)
+            found = {seat for seat in NAMES if self.members.is_suspected(now, seat)}
+            self.assertEqual(self.members.suspected(now), found)
+            revision = self.members.revision(now)
+            if before and before[0] != found:
+                self.assertGreater(revision, before[1])
+            before = found, revision
+
+    @params({"state": "leaving"}, {"incarnation": "b"}, {"seat": NAMES[2]})
+    def test_revision_changes_with_a_peer(self, change):
+        """Guards against a change of holders that is not proposed."""
+        self.members.on_ping(0.0, Ping(1, make_facts(PEER)), self.facts)
+        before = self.members.revision(0.0)
+        facts = make_facts(**{"seat": PEER, "started_ms": 2} | change)
+        self.members.on_ping(0.1, Ping(2, facts), self.facts)
+        self.assertGreater(self.members.revision(0.1), before)
+
     @params((2.9, False), (3.0, True))
     def test_suspicion_of_a_seat_never_heard(self, now, expected):
         """Guards against a starting node that takes all seats for dead."""
