--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import gc
+import itertools
 import os
 import time
 import tracemalloc
@@ -20,6 +21,7 @@
 from orioleloft_core.idempotency import KeyTable
 from orioleloft_core.messages import (
     Ask,
+    AssignmentData,
     CatalogData,
     Granted,
     Message,
@@ -41,7 +43,8 @@
 SETTLE_SECONDS = 8.0
 MEASURED_SECONDS = 5.0
 FLEET_SETTLE_SECONDS = 15.0
-FLEET_SECONDS = 20.0
+FLEET_SECONDS = 10.0
+RELEASES = 10
 REQUESTS = 2000
 MESSAGES = 3000
 MS = 1000.0
@@ -117,6 +120,8 @@
             Figure(f"catalog.data.targets.{targets}", len(data.document), "B"),
             Figure(f"catalog.adopt.targets.{targets}", adopt, "ms"),
         ]
+        assigned = len(encode(AssignmentData(1, solo.holders)))
+        made.append(Figure(f"assignment.data.targets.{targets}", assigned, "B"))
         head_points.append((targets, head_bytes))
         data_points.append((targets, len(data.document)))
         adopt_points.append((targets, adopt))
@@ -163,6 +168,7 @@
             Figure(f"request.requester.targets.{targets}", requester, "us"),
             Figure(f"request.own_lease.targets.{targets}", own, "us"),
         ]
+    made += _message_counts()
     made += slope_of("request.holder.targets", "us", at_holder)
     return made + slope_of("request.requester.targets", "us", at_requester)
 
@@ -175,19 +181,25 @@
 
 
 def fleets() -> list[Figure]:
-    """Whole fleets in the driver: platform calls in calm and adoption of a release."""
-    made, calls, adoption = [], [], []
+    """Whole fleets in the driver: platform calls in calm, releases, and the death of a holder."""
+    made, calls, releases, takeovers = [], [], [], []
     for seats in FLEET_SIZES:
         fleet = Fleet(BOLETERIA, seats, RoutingMode.GRANTS, 1)
         fleet.run_until(FLEET_SETTLE_SECONDS)
         before = fleet.platform_calls
         fleet.run_until(FLEET_SETTLE_SECONDS + FLEET_SECONDS)
         calls.append((seats, (fleet.platform_calls - before) / FLEET_SECONDS))
-        adoption.append((seats, _adoption_ms(fleet)))
-    made += [Figure(f"platform.calm.seats.{seats}", value, "calls/s") for seats, value in calls]
-    made += [Figure(f"release.slowest.seats.{seats}", value, "ms") for seats, value in adoption]
-    made += slope_of("platform.calm.seats", "calls/s", calls)
-    return made + slope_of("release.slowest.seats", "ms", adoption)
+        releases.append((seats, max(_adoption_ms(fleet) for _ in range(RELEASES))))
+        takeovers.append((seats, _takeover_ms(fleet)))
+    parts = (
+        ("platform.calm.seats", "calls/s", calls),
+        ("release.slowest.seats", "ms", releases),
+        ("takeover.seats", "ms", takeovers),
+    )
+    for name, unit, points in parts:
+        made += [Figure(f"{name}.{seats}", value, unit) for seats, value in points]
+        made += slope_of(name, unit, points)
+    return made
 
 
 def _settled(seats: int, catalog: Catalog, held_by: Sequence[int] = (), codec: bool = True) -> Solo:
@@ -294,6 +306,18 @@
     return solo.core_seconds / max(1, done) * 1e6
 
 
+def _message_counts() -> list[Figure]:
+    """Messages between nodes for one call whose holder is another seat, counted in the driver."""
+    catalog = catalog_of(shape_of(*HELD_SIZES[0]))
+    solo = _settled(17, catalog, held_by=(1,), codec=False)
+    service, group = catalog.services[0].name, next(iter(catalog.groups))
+    solo.feed(events.RequestArrived(_request(0, service, solo.now)))
+    granted = Granted(f"{'0' * 16}-1", f"{group}.entry-001.0.1", catalog.targets[0].id, True)
+    made = solo.receive("entry-001", granted)
+    done = _finish(solo, made)
+    return [Figure("request.messages", solo.messages / done, "1/call")]
+
+
 def _own_micros(catalog: Catalog) -> float:
     """A whole request at a node that holds the group itself."""
     solo = _settled(17, catalog, held_by=(0,), codec=False)
@@ -351,14 +375,44 @@
 
 def _adoption_ms(fleet: Fleet) -> float:
     """Time from acceptance to the last node's adoption of a release."""
+    fleet.run_until(fleet.now + 0.9 + 0.3 * fleet.rng.random())
     accepted = fleet.now
     version = fleet.catalog.version + 1
     fleet.publish(dataclasses.replace(fleet.catalog, version=version))
-    while any(node.catalog.version < version for node in fleet.nodes.values()):
+    return _wait_ms(
+        fleet,
+        accepted,
+        lambda: all(node.catalog.version >= version for node in fleet.nodes.values()),
+    )
+
+
+def _takeover_ms(fleet: Fleet) -> float:
+    """Time from the death of a group's holder until another seat grants for the group."""
+    group = next(iter(fleet.catalog.groups))
+    dead = next(iter(fleet.nodes.values())).holder_seat(group)
+    del fleet.nodes[dead]
+    numbers = itertools.count()
+    asking = next(iter(fleet.nodes))
+
+    def is_granted() -> bool:
+        seat = fleet.nodes[asking].holder_seat(group)
+        if seat == dead or seat is None:
+            return False
+        ask = Ask(f"capacity-{next(numbers)}", group, "", 1000, "")
+        made = fleet.nodes[seat].handle(fleet.now, events.MessageArrived("entry-x", ask))
+        return any(
+            isinstance(each, effects.Send) and isinstance(each.message, Granted) for each in made
+        )
+
+    return _wait_ms(fleet, fleet.now, is_granted)
+
+
+def _wait_ms(fleet: Fleet, since: float, is_done: Callable[[], bool]) -> float:
+    while not is_done():
         fleet.run_until(fleet.now + 0.005)
-        if fleet.now > accepted + 30:
-            raise RuntimeError("a node did not adopt the release within 30 s.")
-    return (fleet.now - accepted) * MS
+        if fleet.now > since + 30:
+            raise RuntimeError("not done within 30 s of simulated time.")
+    return (fleet.now - since) * MS
 
 
 def main() -> None:
--- a/bench/solo.py
+++ b/bench/solo.py
@@ -62,7 +62,7 @@
         self._sent_at: dict[int, float] = {}
         self._seq = 0
         in_turn = itertools.cycle(held_by or range(seats))
-        self._holders = tuple(
+        self.holders = tuple(
             (group, names[index], f"{index:016x}")
             for group, index in zip(sorted(catalog.groups), in_turn, strict=False)
         )
@@ -141,7 +141,7 @@
                     return
                 self.feed(events.HeadRead(self.catalog, True, self.now))
             case effects.ReadAssignment() | effects.WriteAssignment():
-                self.feed(events.AssignmentRead(1, self._holders, True, self.now))
+                self.feed(events.AssignmentRead(1, self.holders, True, self.now))
 
     def _send(self, seat: str, message: Message) -> None:
         self.messages += 1
