Fuzz whole nodes against an oracle of what ran and what callers were told

Cause: the fuzz tests covered leases, keys and releases apart from each other; nothing checked whole nodes with targets, callers, platform and network together.

The oracle shares no code with the decisions.

--- /dev/null
+++ b/tests/test_fleet_stateful.py
@@ -0,0 +1,218 @@
+"""Stateful fuzzing of whole nodes against an oracle of what ran and what callers were told."""
+
+import os
+import random
+import unittest
+
+import hypothesis
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
+
+from orioleloft_core.errors import Outcome
+from tests.support.fleet import NAMES
+from tests.support.nodefleet import TARGET_IDS, ZONES, NodeWorld
+
+IS_FUZZ = "ORIOLELOFT_FUZZ" in os.environ
+EXAMPLES = 200 if IS_FUZZ else 15
+STEPS = 30
+
+# Back-off after an outage (10 s), start of a seat (4 s), suspicion (3 s), proposal (2 s), fencing
+# (5 s) and the first answers of cold targets.
+HEALING_S = 30.0
+
+SEAT = st.sampled_from(NAMES)
+SEATS = st.sets(SEAT, min_size=1, max_size=3)
+TARGET = st.sampled_from(TARGET_IDS)
+TARGET_SET = st.sets(TARGET, min_size=1, max_size=3)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed):
+        self.world = NodeWorld(seed)
+        for seat in NAMES:
+            self.world.start(seat)
+        self.world.run(9)
+        self.world.load(2, 100)
+        self.keyed = []
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 2, 4)), rate=st.sampled_from((0, 20, 100, 400)))
+    def run_for(self, seconds, rate):
+        self.world.load(seconds, rate if seconds < 2 else min(rate, 100))
+
+    @rule(seat=SEAT, deadline_s=st.sampled_from((0.05, 2, 12)), count=st.integers(1, 6))
+    def send(self, seat, deadline_s, count):
+        process = self.world.owner[seat]
+        for _ in range(count):
+            if process.is_alive:
+                self.world.submit(process, deadline_s=deadline_s)
+
+    @rule(seat=SEAT, owner=SEAT, deadline_s=st.sampled_from((0.05, 2, 12)))
+    def send_keyed(self, seat, owner, deadline_s):
+        """Sends a key to a node, which need not be the key's owner."""
+        process, owner = self.world.owner[seat], self.world.owner[owner]
+        if process.is_alive:
+            key = self.world.key_of(owner)
+            self.keyed.append(self.world.submit(process, key, deadline_s=deadline_s))
+
+    @rule(seat=SEAT, data=st.data())
+    def resend(self, seat, data):
+        process = self.world.owner[seat]
+        if process.is_alive and self.keyed:
+            call = data.draw(st.sampled_from(self.keyed[-6:]))
+            self.world.submit(process, call.key, call.token)
+
+    @rule(seats=SEATS, gap_s=st.sampled_from((0, 0.5, 5)))
+    def replace(self, seats, gap_s):
+        """Ends processes and starts empty ones with new incarnations."""
+        for seat in seats:
+            self.world.owner[seat].die()
+        self.world.note_network()
+        self.world.load(gap_s, 50)
+        self.start_dead()
+
+    @rule(seats=SEATS, seconds=st.sampled_from((0.2, 0.7, 4, 8)), rate=st.sampled_from((0, 100)))
+    def pause(self, seats, seconds, rate):
+        for seat in seats:
+            self.world.owner[seat].is_paused = True
+        self.world.note_network()
+        self.world.load(seconds, rate)
+        self.resume()
+
+    @rule(seats=SEATS, is_cut=st.booleans(), seconds=st.sampled_from((0, 1, 6)))
+    def cut(self, seats, is_cut, seconds):
+        """Cuts seats off from the others, and from the platform as well."""
+        world = self.world
+        world.side = {seat: int(seat in seats) for seat in NAMES}
+        world.platform.cut = set(seats) if is_cut else set()
+        world.note_network()
+        world.note_platform()
+        world.load(seconds, 60)
+
+    @rule(
+        drop=st.sampled_from((0, 0.2)),
+        duplicate=st.sampled_from((0, 0.3)),
+        delay_s=st.sampled_from((0.01, 0.1, 0.6)),
+    )
+    def disturb(self, drop, duplicate, delay_s):
+        world = self.world
+        world.drop, world.duplicate, world.delay_s = drop, duplicate, delay_s
+        world.note_network()
+
+    @rule()
+    def join(self):
+        world = self.world
+        world.side = dict.fromkeys(NAMES, 0)
+        world.platform.cut = set()
+        world.note_network()
+        world.note_platform()
+
+    @rule(mode=st.sampled_from(("up", "down", "slow", "lossy")))
+    def set_platform(self, mode):
+        self.world.platform.mode = mode
+        self.world.note_platform()
+
+    @rule(names=TARGET_SET, down_s=st.sampled_from((0.02, 0.3, 3)), rate=st.sampled_from((0, 300)))
+    def restart_targets(self, names, down_s, rate):
+        for name in names:
+            self.world.targets[name].restart(down_s)
+        self.world.load(0.5, rate)
+
+    @rule(
+        names=TARGET_SET,
+        slowness=st.sampled_from((1, 10, 60)),
+        hang=st.sampled_from((0, 0.2)),
+        shed=st.sampled_from((0, 0.3)),
+        break_off=st.sampled_from((0, 0.1)),
+        reports=st.sampled_from(("true", "lagging", "lying")),
+    )
+    def spoil_targets(self, names, slowness, hang, shed, break_off, reports):
+        for name in names:
+            target = self.world.targets[name]
+            target.slowness, target.hang = slowness, hang
+            target.shed, target.break_off, target.reports = shed, break_off, reports
+
+    @rule(names=TARGET_SET, drains=st.booleans())
+    def drain_targets(self, names, drains):
+        """Targets state that they leave, without a release note."""
+        for name in names:
+            self.world.targets[name].is_draining = drains
+
+    @rule(
+        closed=st.sets(st.sampled_from(ZONES), max_size=2),
+        draining=st.sets(TARGET, max_size=2),
+        withdrawn=st.sets(TARGET, max_size=2),
+        rate=st.sampled_from((0, 60)),
+    )
+    def publish(self, closed, draining, withdrawn, rate):
+        world = self.world
+        if world.platform.mode == "down":
+            return
+        world.closed_zones, world.draining, world.withdrawn = closed, draining, withdrawn
+        world.publish()
+        world.load(0.5, rate)
+
+    def resume(self):
+        for process in [item for item in self.world.processes if item.is_paused]:
+            self.world.resume(process)
+        self.world.note_network()
+
+    def start_dead(self):
+        for process in list(self.world.owner.values()):
+            if not process.is_alive:
+                self.world.start(process.seat)
+        self.world.note_network()
+
+    def heal(self):
+        world = self.world
+        self.join()
+        self.disturb(0, 0, 0.01)
+        self.set_platform("up")
+        self.resume()
+        self.start_dead()
+        for target in world.targets.values():
+            target.heal()
+            target.start()
+        self.publish(set(), set(), set(), 0)
+        world.load(HEALING_S, 20)
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        self.heal()
+        world = self.world
+        calls = [world.submit(world.owner[seat]) for seat in NAMES]
+        world.run(3)
+        for call in calls:
+            outcomes = [reply.outcome for reply in call.replies]
+            assert outcomes == [Outcome.COMPLETE], f"{call.process.seat} does not serve: {outcomes}"
+            assert call.process.node.catalog.version == world.platform.version
+        for name, call in world.oracle.calls.items():
+            assert call.replies or not call.process.is_alive, f"{name} was never answered"
+
+
+class FleetTest(unittest.TestCase):
+    def test_fleet_under_faults(self):
+        """Guards against false "not run", second runs, wrong answers, overload and late starts."""
+        machine = FleetMachine
+        if IS_FUZZ:
+            seed = int(os.environ["ORIOLELOFT_FUZZ"] or 0) or random.SystemRandom().getrandbits(32)
+            print(f"ORIOLELOFT_FUZZ={seed}")
+            machine = hypothesis.seed(seed)(machine)
+        run_state_machine_as_test(
+            machine,
+            settings=settings(
+                derandomize=not IS_FUZZ,
+                max_examples=EXAMPLES,
+                stateful_step_count=STEPS,
+                deadline=None,
+                database=None,
+                print_blob=True,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
