--- a/packages/node/orioleloftd/main.py
+++ b/packages/node/orioleloftd/main.py
@@ -71,8 +71,7 @@
         await Runner(settings, node, platform, incarnation).run()
         return
     with open(settings.output.trace_path, "w", encoding="utf-8") as file:
-        recorder = Recorder(node, seed, file)
-        await Runner(settings, node, platform, incarnation, record=recorder.record).run()
+        await Runner(settings, Recorder(node, seed, file), platform, incarnation).run()
 
 
 def run() -> None:
--- a/packages/node/orioleloftd/runner.py
+++ b/packages/node/orioleloftd/runner.py
@@ -76,7 +76,6 @@
         platform: the platform's client.
         incarnation: incarnation of the node.
         clock: the node's clock in seconds; monotonic.
-        record: called with the time, the event and its effects, for traces.
     """
 
     def __init__(
@@ -86,7 +85,6 @@
         platform: Platform,
         incarnation: str,
         clock: Callable[[], float] = boot_time,
-        record: Callable[[float, events.Event, list[effects.Effect]], None] | None = None,
     ) -> None:
         limits = settings.requests
         self.metrics = metrics.Metrics(settings.output)
@@ -96,7 +94,6 @@
         self._platform = platform
         self._incarnation = incarnation
         self._clock = clock
-        self._record = record
         self._requests = 0
         self._waiting: dict[str, tuple[Callable[[Reply], None], float]] = {}
         self._events: collections.deque[events.Event] = collections.deque()
@@ -170,8 +167,6 @@
             self.metrics.count(metrics.CORE_FAILURES)
             self._fail(event)
             return
-        if self._record is not None:
-            self._record(now, event, made)
         for effect in made:
             self._execute(effect)
 
