--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -179,7 +179,8 @@
             self.world.later(0.05, lambda: self.watch(process, effect, started, until))
             return
         catalog = self.world.catalog(self.version) if self.version > effect.wait_for else None
-        self.answer(process, effect, started, 0.001, catalog)
+        delay = self.world.rng.uniform(0, 0.9 if self.mode == "slow" else 0.001)
+        self.answer(process, effect, started, delay, catalog)
 
     def answer(self, process, effect, started, delay, catalog):
         is_lost = self.mode in ("down", "lossy") and self.world.rng.random() < 0.9
--- a/tests/support/nodefleet.py
+++ b/tests/support/nodefleet.py
@@ -49,7 +49,9 @@
         self.world, self.seat = world, seat
         self.incarnation, self.started_ms = f"{number:016x}", number
         self.seed = world.rng.getrandbits(32)
-        self.offset = random.Random(self.seed).uniform(0, 1e5)
+        # VMs that started together have nearly the same clock, and so the same key windows.
+        rng = random.Random(self.seed)
+        self.offset = rng.choice((rng.uniform(0, 10), rng.uniform(0, 1e5)))
         self.is_alive, self.is_paused, self.inbox = True, False, []
         own = world.settings(seat)
         node = Node(own, self.incarnation, number, random.Random(self.seed))
--- a/tests/test_fleet_stateful.py
+++ b/tests/test_fleet_stateful.py
@@ -14,7 +14,7 @@
 from tests.support.nodefleet import TARGET_IDS, ZONES, NodeWorld
 
 IS_FUZZ = "ORIOLELOFT_FUZZ" in os.environ
-EXAMPLES = 200 if IS_FUZZ else 15
+EXAMPLES = 200 if IS_FUZZ else 24
 STEPS = 30
 
 # Back-off after an outage (10 s), start of a seat (4 s), suspicion (3 s), proposal (2 s), fencing
@@ -63,6 +63,71 @@
             call = data.draw(st.sampled_from(self.keyed[-6:]))
             self.world.submit(process, call.key, call.token)
 
+    @rule(seat=SEAT, owner=SEAT, gap_s=st.sampled_from((0, 0.002, 0.05, 1.2)))
+    def send_key_twice(self, seat, owner, gap_s):
+        """Sends a key to two nodes; the owner of the key comes second."""
+        first, owner = self.world.owner[seat], self.world.owner[owner]
+        if first.is_alive and owner.is_alive:
+            key = self.world.key_of(owner)
+            self.keyed.append(self.world.submit(first, key))
+            self.world.run(gap_s)
+            self.world.submit(owner, key, self.keyed[-1].token)
+
+    @rule(owner=SEAT, gap_s=st.sampled_from((0, 0.01, 0.3)), start_s=st.sampled_from((0, 1, 7)))
+    def replace_owner(self, owner, gap_s, start_s):
+        """Replaces the owner of a key and resends the key to its successor."""
+        former = self.world.owner[owner]
+        if former.is_alive:
+            call = self.world.submit(former, self.world.key_of(former))
+            self.keyed.append(call)
+            self.world.run(gap_s)
+            self.replace([owner], 0)
+            self.world.run(start_s)
+            self.world.submit(self.world.owner[owner], call.key, call.token)
+
+    @rule(seat=SEAT, seconds=st.sampled_from((3, 9)), kills=st.booleans())
+    def pause_with_grants(self, seat, seconds, kills):
+        """Pauses a node while grants are on their way to it, and loads the targets meanwhile."""
+        world = self.world
+        process = world.owner[seat]
+        holder = world.owner.get(process.node.holder_seat("ledger#0"))
+        if not process.is_alive or holder in (None, process):
+            return
+        for _ in range(24):
+            world.submit(process, deadline_s=20)
+        world.note_isolation()
+        process.is_paused = True
+        world.run(0.05)
+        if kills:
+            self.replace([holder.seat], 0)
+        world.load(seconds, 100)
+        for target in world.targets.values():
+            target.slowness *= 10
+        for _ in range(60):
+            world.send_any()
+        world.run(0.1)
+        self.resume()
+        world.run(1)
+        for target in world.targets.values():
+            target.slowness /= 10
+
+    @rule(count=st.sampled_from((30, 100)))
+    def kill_holder(self, count):
+        """Ends the holder of the group and sends a burst of requests to slow targets."""
+        world = self.world
+        named = {item.node.holder_seat("ledger#0") for item in world.running()} - {None}
+        for seat in named:
+            world.owner[seat].die()
+        world.note_isolation()
+        for target in world.targets.values():
+            target.slowness *= 10
+        for _ in range(count):
+            world.send_any()
+        world.run(0.5)
+        for target in world.targets.values():
+            target.slowness /= 10
+        self.start_dead()
+
     @rule(seats=SEATS, gap_s=st.sampled_from((0, 0.5, 5)))
     def replace(self, seats, gap_s):
         """Ends processes and starts empty ones with new incarnations."""
@@ -157,8 +222,9 @@
         withdrawn=st.sets(TARGET, max_size=2),
         rate=st.sampled_from((0, 60)),
         connects=st.booleans(),
+        repeats=st.booleans(),
     )
-    def publish(self, closed, draining, withdrawn, rate, connects):
+    def publish(self, closed, draining, withdrawn, rate, connects, repeats):
         """Puts a catalog in force, while connections to the targets are opened or not."""
         world = self.world
         if world.platform.mode == "down":
@@ -169,6 +235,9 @@
                 target.restart(0.02)
             world.load(0.1, 300)
         world.publish()
+        if repeats:
+            world.run(0.3)
+            world.publish()
         world.load(0.5, rate)
 
     def resume(self):
@@ -193,7 +262,7 @@
         for target in world.targets.values():
             target.heal()
             target.start()
-        self.publish(set(), set(), set(), 0, False)
+        self.publish(set(), set(), set(), 0, False, False)
         world.load(HEALING_S, 20)
 
     def teardown(self):
