--- a/tests/test_fleet_stateful.py
+++ b/tests/test_fleet_stateful.py
@@ -240,6 +240,17 @@
             world.publish()
         world.load(0.5, rate)
 
+    @rule(count=st.integers(2, 4))
+    def publish_slowly(self, count):
+        """Publishes while reads of the platform are overtaken by newer versions from peers."""
+        world = self.world
+        if world.platform.mode == "up":
+            self.set_platform("slow")
+            for _ in range(count):
+                world.publish()
+                world.run(0.4)
+            self.set_platform("up")
+
     def resume(self):
         for process in [item for item in self.world.processes if item.is_paused]:
             process.woken_at = self.world.now
