--- a/bench/tail.py
+++ b/bench/tail.py
@@ -76,6 +76,7 @@
     load.start(WARM_UP_SECONDS, RAMP_SECONDS, begin + MEASURED_SECONDS)
     fleet.run_until(begin)
     fleet.outcomes = Outcomes(new_histogram(), {})
+    fleet.measured_from = begin
     for target in fleet.targets.values():
         target.met_full = target.arrivals = 0
     disturb(fleet, random.Random(f"disturb/{seed}"), scenario.has_restarts)
--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -2,13 +2,14 @@
 
 import collections
 import random
+from collections.abc import Iterator
 
 from orioleloft_core import addresses
 from orioleloft_core.addresses import EntryAddress
 from orioleloft_core.admission import Admission
 from orioleloft_core.budget import Backoff, RetryBudget, TokenBucket
-from orioleloft_core.catalog import Catalog
-from orioleloft_core.effects import Answer, Effect, Send, Stopped
+from orioleloft_core.catalog import Catalog, Target
+from orioleloft_core.effects import Answer, Dispatch, Effect, Send, Stopped
 from orioleloft_core.errors import Code
 from orioleloft_core.events import (
     AssignmentRead,
@@ -51,6 +52,7 @@
 from orioleloft_core.pacing import Pacer
 from orioleloft_core.request import Request, error_reply
 from orioleloft_core.settings import Settings
+from orioleloft_core.shares import DispatchShares
 from orioleloft_core.spread import Spread
 from orioleloft_core.status import NodeStatus, TargetStatus
 from orioleloft_core.suspects import Suspects
@@ -93,6 +95,7 @@
         self._lease = LeaseKeeper(settings, incarnation, pacer=self._build_pacer(), rng=rng)
         self._spread = Spread(settings, pacer=self._build_pacer(), rng=rng)
         self._suspects = Suspects(settings)
+        self._shares = DispatchShares()
         self._keys = KeyTable(settings, self._seat, incarnation)
         self._lifecycle = NodeLifecycle()
         self._holdings = Holdings(settings, self._lease, self._suspects)
@@ -175,13 +178,20 @@
             state=self.state,
             catalog_version=self.catalog.version,
             in_force_ms=self._in_force_ms(now),
-            targets=tuple(self._target_status(target.id) for target in self.catalog.targets),
+            targets=tuple(self._target_statuses(now)),
         )
 
-    def _target_status(self, target_id: str) -> TargetStatus:
-        is_open = self.catalog.accepts_new_work(target_id)
-        phase = self._holdings.phase(target_id) or ("open" if is_open else "closed")
-        return TargetStatus(target_id, phase, 0.0)
+    def _target_statuses(self, now: float) -> Iterator[TargetStatus]:
+        by_service: dict[str, list[Target]] = collections.defaultdict(list)
+        for target in self.catalog.targets:
+            by_service[target.service].append(target)
+        for targets in by_service.values():
+            for target, share in zip(targets, self._shares.of(now, targets), strict=True):
+                yield TargetStatus(target.id, self._phase(target), share)
+
+    def _phase(self, target: Target) -> str:
+        is_open = self.catalog.accepts_new_work(target.id)
+        return self._holdings.phase(target.id) or ("open" if is_open else "closed")
 
     def _build_pacer(self) -> Pacer:
         platform = self._settings.platform
@@ -382,9 +392,15 @@
                     settled.append(effect)
                     settled.extend(self._keys.finish(now, request_id, reply))
                 case _:
+                    self._count(now, effect)
                     settled.append(effect)
         return settled
 
+    def _count(self, now: float, effect: Effect) -> None:
+        match effect:
+            case Dispatch(_, target_id):
+                self._shares.count(now, target_id)
+
     def _incarnation_on(self, seat: str) -> str | None:
         peer = self._membership.peers.get(seat)
         return peer.facts.incarnation if peer else None
--- a/packages/core/orioleloft_core/trace.py
+++ b/packages/core/orioleloft_core/trace.py
@@ -112,7 +112,7 @@
     def addresses(self, now: float, zone: str) -> tuple[EntryAddress, ...]:
         """Asks the node and records the answer."""
         listed = self._node.addresses(now, zone)
-        self._write({"now": now, ADDRESSES: zone, LISTED: packing.to_plain(listed)})
+        self._write({"now": now, ADDRESSES: zone, LISTED: _plain_addresses(listed)})
         return listed
 
     def _write(self, line: dict[str, Any]) -> None:
@@ -147,7 +147,7 @@
         case {"may_start": str(dispatch_id)}:
             return {ALLOWED: node.may_start(now, dispatch_id)}
         case {"addresses": str(zone)}:
-            return {LISTED: packing.to_plain(node.addresses(now, zone))}
+            return {LISTED: _plain_addresses(node.addresses(now, zone))}
     raise _broken(f"line {number} holds no call that is known.")
 
 
@@ -158,6 +158,10 @@
         return {ERROR: type(error).__name__}
 
 
+def _plain_addresses(listed: Iterable[EntryAddress]) -> list[Any]:
+    return [packing.to_plain(address) for address in listed]
+
+
 def _plain_effects(effects: Iterable[Effect]) -> list[Any]:
     return [packing.to_tagged(effect, text_only=True) for effect in effects]
 
