Wait briefly for a bypass target; leave a silent holder's queue

Ruled out: a second holder in waiting, which would need a bound of its own; a shorter hold time, since a pause of 1 s would then move groups. Change: a request waits up to 0.25 s for a bypass target of its node, bounded in number; a request queued at a holder that falls silent looks for another way; bypass_nodes 6 instead of 3.

--- a/packages/core/orioleloft_core/admission.py
+++ b/packages/core/orioleloft_core/admission.py
@@ -16,7 +16,12 @@
 from orioleloft_core.settings import RoutingMode, Settings
 
 # How often a queued ask is checked for a holder that has gone.
-QUEUE_CHECK_SECONDS = 0.25
+QUEUE_CHECK_SECONDS = 0.05
+
+# Without a holder a request waits this long for a bypass target. Bypass carries less than grants,
+# so that a longer wait would only fill the node.
+BYPASS_WAIT_SECONDS = 0.25
+BYPASS_CHECK_SECONDS = 0.05
 
 # Without a bypass target, an ask stays open for this many ask timeouts: a holder's short pause
 # is then no failure for the caller.
@@ -74,6 +79,9 @@
         # Timers name the request, so that an answered one's body is not kept until its deadline.
         self._timers: list[tuple[float, int, str, OpenAsk | Attempt | None]] = []
         self._number = 0
+        self._queue_per_slot = settings.routing.queue_per_slot
+        # Requests that wait for a bypass target, the oldest first.
+        self._waiting: dict[str, Flow] = {}
 
     @property
     def in_flight(self) -> int:
@@ -150,15 +158,21 @@
         attempt, effects = self._dispatches.finish(now, dispatch_id, result)
         if attempt is None:
             return effects
+        effects = effects + self._after_finish(now, attempt, result)
+        if attempt.permit.route is Route.BYPASS:
+            effects += self._serve_waiting(now, attempt.flow.request.service)
+        return effects
+
+    def _after_finish(self, now: float, attempt: Attempt, result: DispatchResult) -> list[Effect]:
         flow = attempt.flow
         if flow.is_answered:
             self._forget_if_over(flow)
-            return effects
+            return []
         if result.ending is not Ending.ANSWERED:
-            return effects + self._after_failure(now, attempt, result.ending)
+            return self._after_failure(now, attempt, result.ending)
         self._hedging.observe(flow.request.service, result.service_ms)
         reply = Reply(result.status, Outcome.COMPLETE, headers=result.headers, body=result.body)
-        return effects + self._answer(flow, reply)
+        return self._answer(flow, reply)
 
     def cancel(self, now: float, request_id: str) -> list[Effect]:
         """Ends a request whose caller left; a keyed one goes on, so that a resend finds it."""
@@ -179,7 +193,9 @@
                 effects += self._on_timer(now, flow, subject)
         return effects
 
-    def _on_timer(self, now: float, flow: Flow, subject: OpenAsk | Attempt | None) -> list[Effect]:
+    def _on_timer(
+        self, now: float, flow: Flow, subject: OpenAsk | Attempt | Flow | None
+    ) -> list[Effect]:
         match subject:
             case None:
                 return self._after_deadline(flow)
@@ -187,11 +203,14 @@
                 return self._check_ask(now, subject)
             case Attempt() if subject.dispatch_id in flow.attempts:
                 return self._hedge(now, subject)
+            case Flow() if flow.request.id in self._waiting:
+                return self._route(now, flow)
         return []
 
     def _route(self, now: float, flow: Flow) -> list[Effect]:
         """Starts the next dispatch of a request, or asks for one."""
         request = flow.request
+        self._waiting.pop(request.id, None)
         if not flow.may_run or now >= request.deadline:
             return self._refuse(flow, Code.DEADLINE_BEFORE_START)
         if self._is_by_view:
@@ -208,7 +227,28 @@
 
     def _bypass_or_refuse(self, now: float, flow: Flow) -> list[Effect]:
         permit = self._dispatches.bypass_permit(now, flow)
-        return self._start(now, flow, permit) if permit else self._refuse_full(flow)
+        if permit is not None:
+            return self._start(now, flow, permit)
+        if not self._may_wait(now, flow):
+            return self._refuse_full(flow)
+        self._waiting[flow.request.id] = flow
+        self._set_timer(now + BYPASS_CHECK_SECONDS, flow, flow)
+        return []
+
+    def _may_wait(self, now: float, flow: Flow) -> bool:
+        if flow.waits_since is None:
+            flow.waits_since = now
+        if now - flow.waits_since >= BYPASS_WAIT_SECONDS:
+            return False
+        usable = self._dispatches.count_bypass_targets(now, flow.request.service)
+        return len(self._waiting) < usable * self._queue_per_slot
+
+    def _serve_waiting(self, now: float, service: str) -> list[Effect]:
+        """Gives a bypass target that has become free to the oldest request that waits for it."""
+        for flow in self._waiting.values():
+            if flow.request.service == service:
+                return self._route(now, flow)
+        return []
 
     def _ask(self, now: float, flow: Flow, place: Place, is_hedge: bool) -> list[Effect]:
         effects = self._asks.open(now, flow, place.group, place.seat, is_hedge)
@@ -220,9 +260,11 @@
         flow = ask.flow
         if self._holders.usable_seat(now, ask.group) != ask.seat:
             return self._asks.withdraw(flow) + ([] if ask.is_hedge else self._route(now, flow))
-        if ask.is_queued:
+        if ask.is_queued and not self._holders.is_silent(ask.seat):
             self._set_timer(now + QUEUE_CHECK_SECONDS, flow, ask)
             return []
+        if ask.is_queued:
+            return self._asks.withdraw(flow) + self._route(now, flow)
         self._holders.note_silence(now, ask.seat, ask.asked_at)
         if ask.is_hedge:
             return self._asks.withdraw(flow)
@@ -308,6 +350,7 @@
 
     def _end(self, flow: Flow) -> list[Effect]:
         flow.is_answered = True
+        self._waiting.pop(flow.request.id, None)
         effects = self._asks.withdraw(flow) + self._dispatches.cancel(flow)
         self._forget_if_over(flow)
         return effects
@@ -316,6 +359,6 @@
         if flow.is_over:
             self._flows.pop(flow.request.id, None)
 
-    def _set_timer(self, when: float, flow: Flow, subject: OpenAsk | Attempt | None) -> None:
+    def _set_timer(self, when: float, flow: Flow, subject: OpenAsk | Attempt | Flow | None) -> None:
         self._number += 1
         heapq.heappush(self._timers, (when, self._number, flow.request.id, subject))
--- a/packages/core/orioleloft_core/bypass.py
+++ b/packages/core/orioleloft_core/bypass.py
@@ -75,6 +75,14 @@
         ]
         return min(choices, key=lambda choice: self._used_at.get(choice.target_id, 0), default=None)
 
+    def count(self, now: float, catalog: Catalog, service: str) -> int:
+        """Returns how many warm targets of the service the node may use, busy ones included."""
+        self._follow(catalog)
+        return sum(
+            self.is_warm(now, choice.target_id) and catalog.accepts_new_work(choice.target_id)
+            for choice in self._subset.get(service, ())
+        )
+
     def is_warm(self, now: float, target_id: str) -> bool:
         """Tells whether recent answers of one target incarnation show that it is warm."""
         evidence = self._evidence.get(target_id)
--- a/packages/core/orioleloft_core/dispatches.py
+++ b/packages/core/orioleloft_core/dispatches.py
@@ -60,6 +60,10 @@
             return None
         return Permit(Route.BYPASS, choice.target_id, choice.group, needs_live_connection=True)
 
+    def count_bypass_targets(self, now: float, service: str) -> int:
+        """Returns how many targets of the service bypass may use, busy ones included."""
+        return self._bypass.count(now, self._view.catalog, service)
+
     def view_permit(self, flow: Flow) -> Permit | None:
         """Returns a permit by the node's own view."""
         target_id = self._views.choose(self._view.catalog, flow.request.service, flow.excluded)
--- a/packages/core/orioleloft_core/flow.py
+++ b/packages/core/orioleloft_core/flow.py
@@ -73,6 +73,7 @@
         ask: the open ask.
         attempts: dispatches under way, by id.
         is_answered: the caller has its answer or has left.
+        waits_since: time from which the request has waited for a bypass target.
     """
 
     request: Request
@@ -83,6 +84,7 @@
     ask: OpenAsk | None = None
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     is_answered: bool = False
+    waits_since: float | None = None
 
     @property
     def may_run(self) -> bool:
--- a/packages/core/orioleloft_core/settings.py
+++ b/packages/core/orioleloft_core/settings.py
@@ -127,7 +127,7 @@
 
     mode: RoutingMode = RoutingMode.GRANTS
     ask_timeout_ms: int = 25
-    bypass_nodes: int = 3
+    bypass_nodes: int = 6
     bypass_evidence_ms: int = 10000
     queue_per_slot: int = 4
     warm_answers: int = 4
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -241,6 +241,38 @@
         self.assertEqual(len(messages(effects, BypassReport)), int(is_heard))
         self.assert_answer(effects, None)
 
+    def test_waits_for_a_busy_target(self):
+        """Guards against refusals while the one bypass target is busy for a moment."""
+        self.warm()
+        self.view.holders["ledger#0"] = None
+        first = self.submit(0.0)
+        self.assertEqual(self.submit(0.0, request_id="r2"), [])
+        effects = self.finish(first, WARM, 0.01)
+        self.assertEqual([each.request.id for each in kinds(effects, Dispatch)], ["r2"])
+
+    @params((0.2, []), (0.3, [Code.NO_CAPACITY]))
+    def test_wait_for_a_busy_target_ends(self, now, codes):
+        """Guards against requests that fill a node which cannot serve them."""
+        self.warm()
+        self.view.holders["ledger#0"] = None
+        self.submit(0.0)
+        self.submit(0.0, request_id="r2")
+        ticks = [self.admission.tick(step / 20) for step in range(1, int(now * 20) + 1)]
+        answers = [each.reply.code for effects in ticks for each in kinds(effects, Answer)]
+        self.assertEqual(answers, codes)
+
+    def test_queued_at_silent_holder(self):
+        """Guards against a queued request that waits for a dead holder until it is suspected."""
+        self.warm()
+        (ask,) = messages(self.submit(0.0), Ask)
+        self.admission.on_queued(0.0, HOLDER, Queued(ask.ask_id))
+        self.submit(0.01, request_id="r2")
+        started = kinds(self.admission.tick(0.04), Dispatch)
+        self.finish(started, WARM, 0.045)
+        effects = self.admission.tick(0.1)
+        self.assertEqual(messages(effects, Withdraw), [Withdraw(ask.ask_id)])
+        self.assertEqual(len(kinds(effects, Dispatch)), 1)
+
     def test_remembers_silence(self):
         """Guards against the timeout for each request, and a holder that is never asked again."""
         self.warm()
