--- a/packages/core/orioleloft_core/lease.py
+++ b/packages/core/orioleloft_core/lease.py
@@ -267,12 +267,12 @@
                 self._is_calling = True
                 effects.append(ReadAssignment())
             return effects
-        if not self._may_propose(now, membership, own_state):
-            self._proposal_due = None
-            return effects
         inputs = (membership.revision(now), self._epoch, own_state, tuple(closed_zones))
         if groups is self._settled_groups and inputs == self._settled_inputs:
             return effects
+        if not self._may_propose(now, membership, own_state):
+            self._proposal_due = None
+            return effects
         serving = self._serving(now, membership, own_state)
         candidates = self._prefer_open(serving, closed_zones)
         unheard = {
--- a/packages/core/orioleloft_core/membership.py
+++ b/packages/core/orioleloft_core/membership.py
@@ -86,6 +86,10 @@
             self._find_suspected(now)
         return self._suspected
 
+    def is_ping_due(self, now: float) -> bool:
+        """Tells whether `tick` would send pings."""
+        return now >= self._next_ping_at
+
     def tick(self, now: float, facts: NodeFacts) -> list[Effect]:
         """Sends a ping to each other seat when one is due.
 
@@ -94,7 +98,7 @@
             facts: own facts.
         """
         self._note_start(now)
-        if now < self._next_ping_at:
+        if not self.is_ping_due(now):
             return []
         self._next_ping_at = now + self._heartbeat_s
         self._seq += 1
--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -325,10 +325,10 @@
         return []
 
     def _on_tick(self, now: float) -> list[Effect]:
-        if self._membership.hears_majority(now):
-            self._lease.on_heard_majority(now)
+        self._lease.on_heard_majority(now)
         effects = self._follow_lifecycle(now)
-        effects.extend(self._membership.tick(now, self._facts(now)))
+        if self._membership.is_ping_due(now):
+            effects.extend(self._membership.tick(now, self._facts(now)))
         effects.extend(self._spread.tick(now, self._membership))
         closed = [zone.name for zone in self.catalog.zones if not zone.is_open]
         effects.extend(
