--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -207,6 +207,8 @@
     solo.run(SETTLE_SECONDS)
     if solo.node.state != "serving":
         raise RuntimeError(f"the node is {solo.node.state} after {SETTLE_SECONDS} s.")
+    # Garbage of an earlier measurement would be collected within this one.
+    gc.collect()
     solo.reset()
     return solo
 
