--- a/tests/support/nodefleet.py
+++ b/tests/support/nodefleet.py
@@ -95,8 +95,11 @@
                 self.abort(dispatch_id, Ending.CANCELLED)
             case effects.Probe(target_id):
                 self.world.later(PROBE_S, lambda: self.probe(target_id))
-            case effects.LogEvent() | effects.Stopped():
+            case effects.LogEvent():
                 pass
+            case effects.Stopped():
+                self.world.oracle.on_stopped(self)
+                self.die()
             case _:
                 self.world.platform.call(self, effect, self.now)
 
@@ -201,9 +204,10 @@
         event = events.DispatchFinished(name, result)
         self.world.later(0.0, lambda: self.world.deliver(self, None, event))
 
-    def die(self):
+    def die(self, is_silent=False):
+        """Ends the process; after a silent end targets do not see that connections are gone."""
         self.is_alive = False
-        for name in list(self.jobs):
+        for name in () if is_silent else list(self.jobs):
             self.close_job(name)
 
 
@@ -211,11 +215,17 @@
 class Call:
     """One request as its caller knows it; `token` names its content."""
 
+    request_id: str
     process: NodeProcess
     token: str
     arrived_at: float
     key: str
     replies: list = dataclasses.field(default_factory=list)
+    has_left: bool = False
+
+    @property
+    def is_open(self):
+        return not self.replies and not self.has_left
 
 
 class Oracle:
@@ -284,6 +294,12 @@
             else:
                 self.closed_at.pop(target.id, None)
 
+    def on_stopped(self, process):
+        """Checks that a planned stop has left no caller without an answer."""
+        calls = self.calls.values()
+        open_calls = [item.token for item in calls if item.process is process and item.is_open]
+        assert not open_calls, f"{process.seat} stopped with {open_calls} in flight"
+
     def check_version(self, process):
         version = process.node.catalog.version
         known = self.versions.get(process.incarnation, 0)
@@ -366,7 +382,7 @@
         token = token or f"c{number}"
         if key:
             self.oracle.keyed.add(token)
-        self.oracle.calls[request_id] = Call(process, token, self.now, key)
+        self.oracle.calls[request_id] = Call(request_id, process, token, self.now, key)
         method = "POST" if key else "GET"
         request = Request(
             request_id,
--- a/tests/test_fleet_stateful.py
+++ b/tests/test_fleet_stateful.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
+from orioleloft_core import events
 from orioleloft_core.errors import Outcome
+from orioleloft_core.lifecycle import DRAINING, LEAVING, STOPPED
 from tests.support.fleet import NAMES
 from tests.support.nodefleet import TARGET_IDS, ZONES, NodeWorld
 
@@ -111,12 +113,44 @@
         for target in world.targets.values():
             target.slowness /= 10
 
+    @rule(seats=SEATS, deadline_s=st.sampled_from((2, 12)), gap_s=st.sampled_from((0.01, 1, 5)))
+    def vanish(self, seats, deadline_s, gap_s):
+        """Ends VMs whose connections stay open at the targets, with requests under way."""
+        for seat in sorted(seats):
+            for _ in range(8):
+                if self.world.owner[seat].is_alive:
+                    self.world.submit(self.world.owner[seat], deadline_s=deadline_s)
+        self.world.run(0.01)
+        for seat in sorted(seats):
+            self.world.owner[seat].die(is_silent=True)
+        self.world.note_isolation()
+        self.world.load(gap_s, 50)
+        self.start_dead()
+
+    @rule(seats=SEATS, again=st.booleans())
+    def stop(self, seats, again):
+        """Stops processes as planned; they are replaced at the next fault of a node."""
+        for seat in sorted(seats):
+            for _ in range(1 + again):
+                process = self.world.owner[seat]
+                self.world.deliver(process, None, events.StopRequested())
+
+    @rule(seat=SEAT, is_keyed=st.booleans(), gap_s=st.sampled_from((0, 0.001, 0.01)))
+    def leave(self, seat, is_keyed, gap_s):
+        """Sends a request whose caller closes its connection."""
+        world, process = self.world, self.world.owner[seat]
+        if process.is_alive:
+            call = world.submit(process, world.key_of(process) if is_keyed else "")
+            world.run(gap_s)
+            call.has_left = True
+            world.deliver(process, None, events.CallerLeft(call.request_id))
+
     @rule(count=st.sampled_from((30, 100)))
     def kill_holder(self, count):
         """Ends the holder of the group and sends a burst of requests to slow targets."""
         world = self.world
         named = {item.node.holder_seat("ledger#0") for item in world.running()} - {None}
-        for seat in named:
+        for seat in sorted(named):
             world.owner[seat].die()
         world.note_isolation()
         for target in world.targets.values():
@@ -131,7 +165,7 @@
     @rule(seats=SEATS, gap_s=st.sampled_from((0, 0.5, 5)))
     def replace(self, seats, gap_s):
         """Ends processes and starts empty ones with new incarnations."""
-        for seat in seats:
+        for seat in sorted(seats):
             self.world.owner[seat].die()
         self.world.note_isolation()
         self.world.load(gap_s, 50)
@@ -139,7 +173,7 @@
 
     @rule(seats=SEATS, seconds=st.sampled_from((0.2, 0.7, 4, 8)), rate=st.sampled_from((0, 100)))
     def pause(self, seats, seconds, rate):
-        for seat in seats:
+        for seat in sorted(seats):
             self.world.owner[seat].is_paused = True
         self.world.note_isolation()
         self.world.load(seconds, rate)
@@ -165,6 +199,28 @@
         world.drop, world.duplicate, world.delay_s = drop, duplicate, delay_s
         world.note_network()
 
+    @rule(seat=SEAT, zone=st.sampled_from(ZONES), seconds=st.sampled_from((3, 7)))
+    def isolate_at_work(self, seat, zone, seconds):
+        """Cuts off a node whose requests hang, closes a zone, and lets the requests break."""
+        world, process = self.world, self.world.owner[seat]
+        self.cut([seat], True, 0)
+        world.closed_zones = {zone}
+        if world.platform.mode != "down":
+            world.publish()
+        stuck = [target for target in world.targets.values() if target.id in TARGET_IDS[:3]]
+        for target in stuck:
+            target.hang = 1.0
+        for _ in range(40):
+            if process.is_alive:
+                world.submit(process, deadline_s=20)
+            world.run(0.05)
+        world.load(seconds, 20)
+        for target in stuck:
+            target.hang = 0.0
+            target.restart(0.02)
+        world.load(1, 20)
+        self.join()
+
     @rule()
     def join(self):
         world = self.world
@@ -180,7 +236,7 @@
 
     @rule(names=TARGET_SET, down_s=st.sampled_from((0.02, 0.3, 3)), rate=st.sampled_from((0, 300)))
     def restart_targets(self, names, down_s, rate):
-        for name in names:
+        for name in sorted(names):
             self.world.targets[name].restart(down_s)
         self.world.load(0.5, rate)
 
@@ -189,7 +245,7 @@
         """Restarts targets that nobody uses, so that a burst of requests is the first to notice."""
         world = self.world
         world.run(0.2)
-        for name in names:
+        for name in sorted(names):
             world.targets[name].restart(0.02)
         world.run(0.05)
         for _ in range(count):
@@ -205,7 +261,7 @@
         reports=st.sampled_from(("true", "lagging", "lying")),
     )
     def spoil_targets(self, names, slowness, hang, shed, break_off, reports):
-        for name in names:
+        for name in sorted(names):
             target = self.world.targets[name]
             target.slowness, target.hang = slowness, hang
             target.shed, target.break_off, target.reports = shed, break_off, reports
@@ -213,7 +269,7 @@
     @rule(names=TARGET_SET, drains=st.booleans())
     def drain_targets(self, names, drains):
         """Targets state that they leave, without a release note."""
-        for name in names:
+        for name in sorted(names):
             self.world.targets[name].is_draining = drains
 
     @rule(
@@ -269,6 +325,10 @@
         self.disturb(0, 0, 0.01)
         self.set_platform("up")
         self.resume()
+        for process in list(world.owner.values()):
+            if process.node.state in (LEAVING, DRAINING, STOPPED):
+                world.run(6.5)
+                process.die()
         self.start_dead()
         for target in world.targets.values():
             target.heal()
@@ -288,7 +348,8 @@
             assert outcomes == [Outcome.COMPLETE], f"{call.process.seat} does not serve: {outcomes}"
             assert call.process.node.catalog.version == world.platform.version
         for name, call in world.oracle.calls.items():
-            assert call.replies or not call.process.is_alive, f"{name} was never answered"
+            is_lost = call.is_open and call.process.is_alive
+            assert not is_lost, f"{name} was never answered"
 
 
 class FleetTest(unittest.TestCase):
