Start no dispatch on a node that has lost contact

Cause: only a request's arrival was checked for freshness. A node cut off from the platform and the majority retried a broken idempotent request by bypass, by its old catalog, up to the age of bypass evidence (10 s) after its last answers. Found by the check of isolated nodes in the fleet fuzzer: first bytes into a zone 9.0 s after its closing was accepted.

Ruled out: new requests (refused from 5 s on), grants (the holder's lease ends within 3 s), and asks that wait (suspicion of the holder ends them).

Conclusion: an isolated node finishes what is at targets and starts nothing.

--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -150,7 +150,8 @@
     def may_start(self, now: float, dispatch_id: str) -> bool:
         """Tells whether a dispatch may send its first byte at this moment."""
         self._note_pause(now)
-        if now < self._stale_until:
+        # A retry or a queued request of a node that has lost contact would go by an old catalog.
+        if now < self._stale_until or not self._spread.is_fresh(now, self._membership):
             return self._routing.deny(dispatch_id)
         return self._routing.may_start(now, dispatch_id)
 
--- a/tests/support/nodefleet.py
+++ b/tests/support/nodefleet.py
@@ -270,6 +270,9 @@
         if since is not None:
             late = call.arrived_at - since - ISOLATED_S
             assert late <= 0, f"{process.seat} took work {late:.3f} s after its time in isolation"
+        if since is not None and name in self.closed_at:
+            late = world.now - max(since, self.closed_at[name]) - ISOLATED_S
+            assert late <= 0, f"isolated {process.seat} started at {name} {late:.3f} s late"
         version = process.node.catalog.version
         assert (
             name not in self.closed[version]
