Count the acknowledgements of one heartbeat together

Cause: a profile at 100 seats showed that the holder recomputed its confirmations over all seats for each acknowledgement, so this work grew with the square of the seats.

Ruled out: leaving out acknowledgements while a fence is open. It moved the end of the fence and five tests of the fence failed, so an open fence is still recomputed at each acknowledgement.

Change: without an open fence, acknowledgements are counted at the next question for a lease or the next assignment, for the time of the last acknowledgement.

--- a/packages/core/orioleloft_core/lease.py
+++ b/packages/core/orioleloft_core/lease.py
@@ -101,6 +101,9 @@
         # Newest sending time of the pings that a seat acknowledged, by seat and reported epoch.
         self._reports: dict[str, dict[int, float]] = collections.defaultdict(dict)
         self._confirmed_until = NEVER
+        # Time of the last acknowledgement, if it came since the last `_refresh`.
+        self._outdated_at: float | None = None
+        self._has_open_fence = False
         self._started: float | None = None
         self._is_loaded = False
         self._heard_epoch = 0
@@ -140,6 +143,8 @@
         fence = self._fences.get(group)
         if fence is None or not self._is_loaded or self._heard_epoch > self._epoch:
             return False
+        self._catch_up()
+        fence = self._fences[group]
         if now < fence.carried_until:
             return True
         return fence.usable_from <= now < self._confirmed_until
@@ -158,6 +163,7 @@
         self._note_start(now)
         if epoch <= self._epoch:
             return False
+        self._catch_up()
         # After a gap, another holder may have had the group in an epoch that was not seen.
         has_gap = epoch != self._epoch + 1
         named = {group: Holder(seat, incarnation) for group, seat, incarnation in holders}
@@ -193,7 +199,9 @@
             return
         reports = self._reports[facts.seat]
         reports[facts.epoch] = max(ping_sent_at, reports.get(facts.epoch, NEVER))
-        self._refresh(now)
+        self._outdated_at = now
+        if not self._is_loaded or self._has_open_fence:
+            self._refresh(now)
 
     def on_heard_majority(self, now: float) -> None:
         """Checks whether the own node may acknowledge epochs from now on.
@@ -307,14 +315,25 @@
         is_usable = self._is_loaded and known.usable_from <= now
         return Fence(epoch, math.inf, self._confirmed_until if is_usable else known.carried_until)
 
+    def _catch_up(self) -> None:
+        if self._outdated_at is not None:
+            self._refresh(self._outdated_at)
+
     def _refresh(self, now: float) -> None:
-        """Recomputes what the acknowledgements prove, so that `may_use` only compares times."""
+        """Recomputes what the acknowledgements prove, so that `may_use` only compares times.
+
+        It costs time for each seat, and the acknowledgements of one heartbeat come together. While
+        no fence is open, it therefore waits for the next `may_use` or assignment and is then made
+        for the time of the last acknowledgement, with the same result.
+        """
+        self._outdated_at = None
         self._forget_old_reports(now)
         self._check_loaded()
         self._confirmed_until = self._compute_confirmed_until()
         for group, fence in self._fences.items():
             if fence.usable_from == math.inf and self._is_passed(fence.since):
                 self._fences[group] = dataclasses.replace(fence, usable_from=now + self._hold_s)
+        self._has_open_fence = any(fence.usable_from == math.inf for fence in self._fences.values())
 
     def _forget_old_reports(self, now: float) -> None:
         oldest = now - self._hold_s
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -50,6 +50,30 @@
     def is_usable(self, now):
         return self.keeper.may_use(now, "g")
 
+    @params(*range(20))
+    def test_use_does_not_depend_on_earlier_questions(self, seed):
+        """Guards against acknowledgements that are counted late and change a fence or its end."""
+        rng = random.Random(seed)
+        asked = make_keeper()
+        now, epoch = 0.0, 1
+        for _ in range(300):
+            now += rng.choice((0.0, 0.01, 0.5, 1.0))
+            step = rng.randrange(12)
+            epoch += step == 0 and rng.randrange(3)
+            seat, sent_at = rng.choice(OTHERS), now - rng.choice((0.0, 0.2, 2.9))
+            facts = make_facts(seat, epoch=max(1, epoch - (rng.random() < 0.2)))
+            read = AssignmentRead(epoch, rng.choice((MINE, MINE, THEIRS)), True, now)
+            for keeper in (self.keeper, asked):
+                if step < 2:
+                    keeper.on_read(now, read)
+                else:
+                    keeper.on_pong(now, facts, sent_at)
+                if step == 2:
+                    keeper.on_heard_majority(now)
+            usable = asked.may_use(now, "g")
+            if rng.random() < 0.1:
+                self.assertEqual(self.keeper.may_use(now, "g"), usable)
+
     @params((6.9, False), (7.0, True), (9.9, True), (10.0, False))
     def test_fence_and_end_of_confirmation(self, now, expected):
         """Guards against a new holder that starts while the old one may still grant."""
