Tell the other seats of a planned stop at once

Cause: a node that gets SIGTERM sent its new state with its next heartbeat only, up to 1 s later. Until then the others name it to callers, who keep the address for its whole lifetime. The margin of 1 s after the lifetime equals the heartbeat, so nothing of it was left for the callers' own requests.

Ruled out: address answers that keep a node once its state is known (they leave it out in the same call), and a second signal that starts the lifetime again (it counts from the first one).

Change: Membership.announce makes the next tick send pings; the node calls it when a stop takes it out of serving.

Conclusion: the margin is now there for callers. If the ping is lost, the next heartbeat tells the stop, as before.

--- a/packages/core/orioleloft_core/membership.py
+++ b/packages/core/orioleloft_core/membership.py
@@ -81,6 +81,10 @@
         ping = Ping(self._seq, facts)
         return [Send(seat, ping) for seat in self._others]
 
+    def announce(self) -> None:
+        """Makes the next `tick` send pings, so that a change of the own facts is heard at once."""
+        self._next_ping_at = NEVER
+
     def on_ping(self, now: float, ping: Ping, own_facts: NodeFacts) -> list[Effect]:
         """Answers a ping, unless its sender is superseded."""
         self._note_start(now)
--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -360,6 +360,9 @@
     def _on_stop(self, now: float) -> None:
         if self.state == SERVING:
             self._leaving_since = now
+            # The other nodes name this one in address answers until they hear of the stop. A wait
+            # for the next heartbeat would use up the whole margin.
+            self._membership.announce()
         self._lifecycle.handle("stop")
 
     def _configure(self, now: float, is_changed: bool) -> list[Effect]:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -27,6 +27,13 @@
         sent = [len(self.members.tick(now / 4, self.facts)) for now in range(9)]
         self.assertEqual(sent, [4, 0, 0, 0, 4, 0, 0, 0, 4])
 
+    def test_announced_change_is_sent_at_once(self):
+        """Guards against a node that others name to callers for a heartbeat after its stop."""
+        self.members.tick(0.0, self.facts)
+        self.members.announce()
+        sent = [len(self.members.tick(now, self.facts)) for now in (0.1, 0.2, 1.0, 1.1)]
+        self.assertEqual(sent, [4, 0, 0, 4])
+
     @params(
         ({}, 10.0),
         ({"to": "other"}, None),
