Let a planned stop wait for requests whose key another node is asked about

Cause: a draining node counted the requests that it routes, and not those that wait in the key table for the owner of their key. It stopped at once, and the caller's connection closed without an answer.

Ruled out: routed requests (Admission.in_flight counts them until their answer).

Change: KeyTable.waiting counts open queries and joined requests; the node leaves draining only when both counts are zero. Both waits end by the request's deadline. tests/test_node.py fails without it.

--- a/packages/core/orioleloft_core/idempotency.py
+++ b/packages/core/orioleloft_core/idempotency.py
@@ -141,6 +141,11 @@
         self._queries: dict[str, _Query] = {}
         self._query_number = 0
 
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for the owner of their key, or for a request with the same key."""
+        return len(self._queries) + len(self._joined)
+
     def window(self, now: float) -> int:
         """Returns the number of the current key window."""
         return int(now * 1000) // self._settings.window_ms
--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -347,7 +347,7 @@
             self._lifecycle.handle("ready")
         elif state == LEAVING and now >= self._leaving_since + self._leaving_seconds():
             self._lifecycle.handle("lifetime_over")
-        elif state == DRAINING and self._routing.in_flight == 0:
+        elif state == DRAINING and not (self._routing.in_flight or self._keys.waiting):
             self._lifecycle.handle("idle")
         if self.state != STOPPED or self._is_stopped:
             return []
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,12 +4,16 @@
 import unittest
 
 from orioleloft_core import events
-from orioleloft_core.effects import Dispatch
+from orioleloft_core.effects import Answer, Dispatch, Stopped
+from orioleloft_core.messages import Ping
 from orioleloft_core.node import Node
 from orioleloft_core.settings import RoutingMode
 from tests.support import requester
+from tests.support.fleet import make_facts
 
 FRESHNESS_S = 5.0
+# Lifetime of an address answer and margin.
+LEAVING_S = 6.0
 
 
 class MayStartTest(unittest.TestCase):
@@ -30,5 +34,24 @@
         self.assertFalse(node.may_start(FRESHNESS_S, dispatches[1]))
 
 
+class StopTest(unittest.TestCase):
+    def test_stop_waits_for_key_query(self):
+        """Guards against a planned stop that cuts off a caller whose key is asked about."""
+        node = Node(requester.settings(), "ab" * 8, 1, random.Random(1))
+        node.handle(0.0, events.HeadRead(requester.catalog(), True, 0.0))
+        facts = make_facts("entry-02", "cd" * 8)
+        node.handle(0.0, events.MessageArrived("entry-02", Ping(1, facts)))
+        node.handle(0.0, events.Tick())
+        node.handle(0.0, events.StopRequested())
+        key = f"entry-02.{'cd' * 8}.0.k"
+        arrived = events.RequestArrived(requester.request("r1", "POST", 9.0, key))
+        node.handle(LEAVING_S - 0.1, arrived)
+        last = []
+        for step in range(20):
+            made = node.handle(LEAVING_S + 0.1 * step, events.Tick())
+            last += [item for item in made if isinstance(item, Answer | Stopped)]
+        self.assertEqual([Answer, Stopped], [type(item) for item in last])
+
+
 if __name__ == "__main__":
     unittest.main()
