Split the placement of groups from the lease keeper

Cause: lease.py had 500 lines with two jobs, leases and the choice of holders. Ruled out: a class; the choice depends on its arguments only. Change: placement.py with keep and place.

--- a/packages/core/orioleloft_core/lease.py
+++ b/packages/core/orioleloft_core/lease.py
@@ -20,13 +20,14 @@
 import random
 from collections.abc import Collection
 
-from orioleloft_core import hashing
+from orioleloft_core import hashing, placement
 from orioleloft_core.effects import Effect, LogEvent, ReadAssignment, Send, WriteAssignment
 from orioleloft_core.events import AssignmentRead
 from orioleloft_core.lifecycle import LEAVING, SERVING
 from orioleloft_core.membership import NEVER, Membership
 from orioleloft_core.messages import AssignmentData, FetchAssignment, NodeFacts
 from orioleloft_core.pacing import Pacer
+from orioleloft_core.placement import Holder, Holders
 from orioleloft_core.settings import Settings
 
 # Seats propose one after the other, so that in most cases only the first one writes. A write and
@@ -39,22 +40,8 @@
 # Time after which an assignment that no peer delivers is read from the platform.
 PEER_FETCH_S = 2.0
 
-# A seat with more than this many times its share gives groups away. Moving a group costs it its
-# grants for several seconds, so smaller differences are left alone.
-IMBALANCE_LIMIT = 2
-
 PROPOSAL_KEY = "assignment"
 
-Holders = tuple[tuple[str, str, str], ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class Holder:
-    """The node that an assignment names for a group."""
-
-    seat: str
-    incarnation: str
-
 
 @dataclasses.dataclass(frozen=True)
 class Fence:
@@ -288,7 +275,7 @@
             for seat in self._others
             if seat not in membership.peers and not membership.is_suspected(now, seat)
         }
-        kept = self._keep(set(groups), serving, unheard, candidates)
+        kept = placement.keep(self._holders, set(groups), serving, unheard, candidates)
         if not candidates or len(kept) == len(groups) == len(self._holders):
             self._settled_groups, self._settled_inputs = groups, inputs
             self._proposal_due = None
@@ -433,7 +420,7 @@
         self._proposal_due = None
         self._next_proposal_at = now + self._hold_s
         self._is_calling = True
-        placed = _place(groups, kept, candidates)
+        placed = placement.place(groups, kept, candidates)
         self._written = WriteAssignment(self._epoch, placed)
         moved = len(groups) - len(kept)
         fields = (("base_epoch", self._epoch), ("groups", len(groups)), ("moved", moved))
@@ -445,32 +432,6 @@
         rank = hashing.order(PROPOSAL_KEY, present).index(self._own.seat)
         return (rank + self._rng.random()) * PROPOSAL_STEP_S
 
-    def _keep(
-        self,
-        groups: set[str],
-        serving: dict[str, str],
-        unheard: set[str],
-        candidates: dict[str, str],
-    ) -> dict[str, Holder]:
-        """Returns the present holders that stay; one in a closed zone does."""
-        valid = {
-            group: holder
-            for group, holder in self._holders.items()
-            if group in groups
-            and (serving.get(holder.seat) == holder.incarnation or holder.seat in unheard)
-        }
-        share = _share(groups, candidates)
-        counts = collections.Counter(holder.seat for holder in valid.values())
-        excess = {
-            seat: count - share for seat, count in counts.items() if count > IMBALANCE_LIMIT * share
-        }
-        for group in sorted(valid) if excess else ():
-            seat = valid[group].seat
-            if excess.get(seat, 0) > 0:
-                excess[seat] -= 1
-                del valid[group]
-        return valid
-
     def _announce(self) -> list[Effect]:
         data = self._data()
         return [Send(seat, data) for seat in self._others]
@@ -481,20 +442,3 @@
             self._epoch,
             tuple((group, holder.seat, holder.incarnation) for group, holder in holders),
         )
-
-
-def _share(groups: Collection[str], candidates: Collection[str]) -> int:
-    return -(-len(groups) // max(1, len(candidates)))
-
-
-def _place(groups: set[str], kept: dict[str, Holder], candidates: dict[str, str]) -> Holders:
-    """Gives each group without a holder to the first seat in its order that has room."""
-    share = _share(groups, candidates)
-    counts = collections.Counter(holder.seat for holder in kept.values())
-    placed = dict(kept)
-    for group in sorted(groups - kept.keys()):
-        order = hashing.order(group, candidates)
-        seat = next((seat for seat in order if counts[seat] < share), order[0])
-        counts[seat] += 1
-        placed[group] = Holder(seat, candidates[seat])
-    return tuple((group, item.seat, item.incarnation) for group, item in sorted(placed.items()))
