Log answers with their request id, and changes of state and catalog version

Cause: no log line named a request, and a node's change of state or version left no trace in logs. Ruled out: a line for each answer at INFO; at a thousand answers a second it would cost more than it tells. Change: request-answered at DEBUG, at WARNING when the outcome is unknown; node-changed; the refusals of a node that takes no work say why. Conclusion: an operator can follow a request id from the answer's header to the log.

--- a/packages/core/orioleloft_core/node.py
+++ b/packages/core/orioleloft_core/node.py
@@ -71,6 +71,13 @@
 STALE_GRANT_SECONDS = 0.1
 
 
+_REFUSAL_MESSAGES = {
+    Code.NODE_STARTING: "the node has not loaded a catalog yet.",
+    Code.NODE_STOPPING: "the node is stopping and takes no new work.",
+    Code.NODE_ISOLATED: "the node has lost contact with the platform and with most other nodes.",
+}
+
+
 class Node:
     """Composes the parts of the core; it owns no socket, clock or global random source."""
 
@@ -253,7 +260,7 @@
     def _start(self, now: float, request: Request) -> list[Effect]:
         code = self._refusal_code(now)
         if code is not None:
-            return [_refusal(request, code, f"node is {self.state}.")]
+            return [_refusal(request, code, _REFUSAL_MESSAGES[code])]
         return self._routing.submit(now, request)
 
     def _refusal_code(self, now: float) -> Code | None:
--- a/packages/node/orioleloftd/logs.py
+++ b/packages/node/orioleloftd/logs.py
@@ -29,9 +29,11 @@
         return json.dumps(line, default=str)
 
 
-def log_event(logger: logging.Logger, name: str, /, **fields: object) -> None:
+def log_event(
+    logger: logging.Logger, name: str, /, _level: int = logging.INFO, **fields: object
+) -> None:
     """Writes an event with named fields."""
-    logger.info(name, extra={_FIELDS: fields})
+    logger.log(_level, name, extra={_FIELDS: fields})
 
 
 def set_up(level: str, seat: str) -> None:
--- a/packages/node/orioleloftd/runner.py
+++ b/packages/node/orioleloftd/runner.py
@@ -11,7 +11,7 @@
 
 from orioleloft_core import effects, events
 from orioleloft_core.catalog import Catalog
-from orioleloft_core.errors import Code
+from orioleloft_core.errors import Code, Outcome
 from orioleloft_core.request import DispatchResult, Ending, Reply, Request, error_reply
 from orioleloft_core.settings import Settings
 from orioleloftd import links, metrics
@@ -95,6 +95,7 @@
         self._incarnation = incarnation
         self._clock = clock
         self._requests = 0
+        self._logged = ("", 0)
         self._waiting: dict[str, tuple[Callable[[Reply], None], float]] = {}
         self._events: collections.deque[events.Event] = collections.deque()
         self._is_handling = False
@@ -235,7 +236,12 @@
             return
         part = reply.code.value if reply.code is not None else reply.outcome.value
         self.metrics.count(metrics.ANSWERS, part)
-        self.metrics.time(metrics.ANSWER_MS, (self._clock() - started) * 1000)
+        took_ms = (self._clock() - started) * 1000
+        self.metrics.time(metrics.ANSWER_MS, took_ms)
+        level = logging.WARNING if reply.outcome is Outcome.UNKNOWN else logging.DEBUG
+        if _log.isEnabledFor(level):
+            fields = {"request_id": request_id, "status": reply.status, "answer": part}
+            log_event(_log, "request-answered", _level=level, **fields, ms=round(took_ms, 3))
         answer(reply)
 
     def _message_arrived(self, seat: str, message: Any) -> None:
@@ -275,10 +281,18 @@
         self._timers["tick"] = loop.call_later(TICK_SECONDS, self._tick, next_due)
         self.feed(events.Tick())
 
+    def _log_changes(self) -> None:
+        """Logs the lifecycle state and the catalog version when they have changed."""
+        seen = str(self._core.state), self._core.catalog.version
+        if seen != self._logged:
+            self._logged = seen
+            log_event(_log, "node-changed", state=seen[0], catalog_version=seen[1])
+
     def _flush(self) -> None:
         loop = asyncio.get_running_loop()
         self._timers["flush"] = loop.call_later(FLUSH_SECONDS, self._flush)
         self._client.sweep()
+        self._log_changes()
         self.metrics.level(metrics.IN_FLIGHT, self._client.running)
         self.metrics.level(metrics.CATALOG_VERSION, self._core.catalog.version)
         self.metrics.flush()
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -139,7 +139,7 @@
     for words in (["note", "list"], ["audit"], [nodes, "status"]):
         done = loopback.command(*words)
         lines = len(done.stdout.splitlines())
-        name = f"orioleloft {words[-1] if len(words) < 3 else words[1]}"
+        name = " ".join(["orioleloft", *(word for word in words if word != nodes)])
         results.append(_row(name, f"exit {done.returncode}, {lines} lines", lines > 0))
     return results
 
