--- a/tests/support/nodefleet.py
+++ b/tests/support/nodefleet.py
@@ -10,6 +10,7 @@
 from orioleloft_core.errors import Outcome
 from orioleloft_core.node import Node
 from orioleloft_core.request import DispatchResult, Ending, Request
+from orioleloft_core.settings import RoutingSettings
 from orioleloft_core.trace import Recorder
 from tests.support import fleet
 from tests.support.faketargets import LINK_S, FakeTarget, Job
@@ -331,7 +332,8 @@
 
     def settings(self, seat):
         """Returns the settings of a node."""
-        return fleet.make_settings(seat)
+        routing = RoutingSettings(bypass_nodes=BYPASS_NODES)
+        return dataclasses.replace(fleet.make_settings(seat), routing=routing)
 
     def catalog(self, version):
         return self.catalogs[version]
