Test that a reconnected peer replaces its old connection

Cause: without ROUTER_HANDOVER no test failed, although a peer whose old connection is not closed yet would then be locked out. Ruled out: two whole Links on one seat; their ports would clash. Change: two sockets with the same identity, both open.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -99,6 +99,14 @@
             self.open.remove(second)
             second.close()
 
+    @fakes.async_test
+    async def test_reconnected_peer_is_heard(self):
+        """Guards against a peer that its own old connection, not yet closed, locks out."""
+        self.links("entry-01")
+        for count in (1, 2):
+            self.dealer(b"entry-02 ab").send(messages.encode(messages.Queued("a")))
+            await fakes.until(lambda count=count: len(self.received) == count)
+
     @params(
         ((b"entry-02 ab",), (b"nonsense",), "undecodable"),
         ((b"entry-02 ab",), (messages.encode(messages.Queued("a")), b"more"), "undecodable"),
