Split the keys of release notes from their reader

Cause: note.py had 455 lines with two jobs, the keys with the form of their values and the reader. Ruled out: a split of the reader; its steps share the line numbers. Change: notekeys.py. Conclusion: no change of behaviour.

--- a/packages/core/orioleloft_core/note.py
+++ b/packages/core/orioleloft_core/note.py
@@ -8,21 +8,16 @@
 import dataclasses
 import enum
 import functools
-import ipaddress
-import re
 import sys
 from collections.abc import Callable, Iterable, Mapping
 
 from orioleloft_core import hashing
 from orioleloft_core.errors import NoteError
+from orioleloft_core.notekeys import KEYS, NAME, Kind, Value, read_name
 
 MAX_NOTE_BYTES = 512 * 1024
-MAX_NUMBER = 1_000_000
-MAX_PORT = 65535
 
 _DIGEST_DIGITS = 12
-# Names are parts of object names and paths, so they hold no slash.
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _SECTION = configparser.RawConfigParser.SECTCRE
 _OPTION = configparser.RawConfigParser.OPTCRE
 _COMMENTS = ("#", ";")
@@ -31,17 +26,6 @@
 # No line is indented this deep, so no line continues a value.
 _NO_KEY = sys.maxsize
 
-Value = str | int | bool
-
-
-class Kind(enum.StrEnum):
-    """What a section describes."""
-
-    ZONE = "zone"
-    SERVICE = "service"
-    TARGET = "target"
-    CUSTOMER = "customer"
-
 
 class Change(enum.StrEnum):
     """What a section does."""
@@ -159,80 +143,6 @@
     return (None, faults) if faults else (note, ())
 
 
-@dataclasses.dataclass(frozen=True)
-class _Key:
-    """A key of a section.
-
-    Attributes:
-        name: name in the text.
-        read: turns the text into fields of the data class; raises ValueError with what is expected.
-        is_required: whether a section that adds must state it.
-    """
-
-    name: str
-    read: Callable[[str], Mapping[str, Value]]
-    is_required: bool = False
-
-
-def _number(field: str, least: int) -> Callable[[str], Mapping[str, Value]]:
-    def read(text: str) -> Mapping[str, Value]:
-        if not (text.isascii() and text.isdecimal()) or not least <= int(text) <= MAX_NUMBER:
-            raise ValueError(f"a whole number from {least} to {MAX_NUMBER}")
-        return {field: int(text)}
-
-    return read
-
-
-def _choice(field: str, choices: Mapping[str, Value]) -> Callable[[str], Mapping[str, Value]]:
-    def read(text: str) -> Mapping[str, Value]:
-        if text not in choices:
-            raise ValueError(" or ".join(choices))
-        return {field: choices[text]}
-
-    return read
-
-
-def _name(field: str) -> Callable[[str], Mapping[str, Value]]:
-    def read(text: str) -> Mapping[str, Value]:
-        if not _NAME.fullmatch(text):
-            raise ValueError("a name of letters, digits, dots, dashes and underscores")
-        return {field: text}
-
-    return read
-
-
-def _address(text: str) -> Mapping[str, Value]:
-    host, _, port = text.rpartition(":")
-    try:
-        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        raise ValueError("an address of the form ip:port") from None
-    if not (port.isascii() and port.isdecimal()) or not 1 <= int(port) <= MAX_PORT:
-        raise ValueError(f"an address whose port is from 1 to {MAX_PORT}")
-    if (ip.version == 6) != host.startswith("["):
-        raise ValueError("an address of the form ip:port or [ip]:port")
-    return {"host": str(ip), "port": int(port)}
-
-
-_KEYS: dict[Kind, tuple[_Key, ...]] = {
-    Kind.ZONE: (
-        _Key("region", _name("region"), is_required=True),
-        _Key("state", _choice("is_open", {"open": True, "closed": False})),
-    ),
-    Kind.SERVICE: (
-        _Key("slots", _number("slots", 1), is_required=True),
-        _Key("connections", _number("connections", 1)),
-        _Key("overlap", _number("overlap", 0)),
-        _Key("cold_limit", _number("cold_limit", 1)),
-        _Key("service_ms", _number("service_ms", 1)),
-    ),
-    Kind.TARGET: (
-        _Key("address", _address, is_required=True),
-        _Key("zone", _name("zone"), is_required=True),
-        _Key("state", _choice("is_draining", {"serving": False, "draining": True})),
-    ),
-    Kind.CUSTOMER: (_Key("weight", _number("weight", 1), is_required=True),),
-}
 _NOTE_KEYS = ("name", "base", "author", "description")
 _CHANGES = ", ".join(Change)
 
@@ -326,7 +236,7 @@
         for key in ("name", "base", "author"):
             if not values.get(key):
                 self._fault(line, f"the key {key} of [note] is missing.", f"Add {key} = ...")
-        name = self._value("note", "name", _name("name")).get("name", "")
+        name = self._value("note", "name", read_name("name")).get("name", "")
         base = self._value("note", "base", _base).get("base")
         return str(name), None if base is None else int(base)
 
@@ -362,7 +272,7 @@
         self, kind: Kind, section: str, change: Change | None, line: int
     ) -> tuple[tuple[str, Value], ...]:
         stated = [key for key in self._values[section] if key != "change"]
-        known = {key.name: key for key in _KEYS[kind]}
+        known = {key.name: key for key in KEYS[kind]}
         fields: dict[str, Value] = {}
         for name in stated:
             if name not in known:
@@ -376,7 +286,7 @@
         self, kind: Kind, section: str, change: Change | None, line: int, stated: list[str]
     ) -> None:
         if change is Change.ADD:
-            for key in _KEYS[kind]:
+            for key in KEYS[kind]:
                 if key.is_required and key.name not in stated:
                     message = f"the key {key.name} of [{section}] is missing."
                     self._fault(line, message, f"Add {key.name} = ...")
@@ -452,4 +362,4 @@
 
 def _is_name(kind: Kind, name: str) -> bool:
     parts = name.split("/")
-    return len(parts) == (2 if kind is Kind.TARGET else 1) and all(map(_NAME.fullmatch, parts))
+    return len(parts) == (2 if kind is Kind.TARGET else 1) and all(map(NAME.fullmatch, parts))
