--- a/bench/load.py
+++ b/bench/load.py
@@ -21,7 +21,6 @@
 
     Attributes:
         utilisation: mean share of the slots that are busy, small customers' load only.
-        post_share: share of requests that are not idempotent (not keyed in the driver).
         has_large_customer: whether one customer sends ten times what all others send.
     """
 
