Serve the platform's whole path through a small adapter

Cause: nothing of the product spoke the users' platform. The design of grants by a holder needs configured seats, majorities and a takeover of 7 s, which the platform neither gives nor bears. Ruled out: a holder for each service (takeover time), probing all targets (price of bytes).

--- /dev/null
+++ b/packages/core/orioleloft_core/evidence.py
@@ -0,0 +1,118 @@
+"""What a node has seen of each target: load reports, requests of its own, failures, slowness."""
+
+import dataclasses
+import math
+
+# A load figure changes many times a second; after this time a report says little. Seconds, from
+# measurements of spells of slow machines that last about 0.3 s.
+REPORT_DECAY_S = 0.3
+# Failures count half after this time, in seconds. A failing target gets trial requests again
+# after a few half-lives.
+FAILURE_HALF_LIFE_S = 2.5
+# Weight of a failure that another node reports against one seen here. Below 1 because a fault may
+# concern only that node's path.
+PEER_FAILURE_WEIGHT = 0.5
+# Bound of the failure score of one target, so that recovery takes a bounded time.
+MAX_FAILURES = 6.0
+# Share of a new observation in the moving average of slowness.
+SLOWNESS_GAIN = 0.35
+# Slowness returns half way to normal in this time without observations, in seconds.
+SLOWNESS_HALF_LIFE_S = 3.0
+# Bounds of one observation of slowness, as a factor on the expected time.
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 12.0
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadFigures:
+    """Load that a target states.
+
+    Attributes:
+        running: requests that it runs.
+        waiting: requests in its queue.
+        slots: requests that it can run at a time.
+        pace: time that work takes at this moment relative to usual; 1.0 is usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float = 1.0
+
+
+class TargetEvidence:
+    """Evidence about one target process."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.connecting_failed_at = -math.inf
+        self._load: LoadFigures | None = None
+        self._load_at = -math.inf
+        self._failures = 0.0
+        self._failures_at = 0.0
+        self._slowness = 1.0
+        self._slowness_at = 0.0
+
+    @property
+    def load(self) -> LoadFigures | None:
+        """The last load figures, however old."""
+        return self._load
+
+    def load_age(self, now: float) -> float:
+        """Returns the age of the load figures in seconds."""
+        return now - self._load_at
+
+    def on_load(self, now: float, load: LoadFigures) -> None:
+        """Takes the load figures of an answer."""
+        self._load = load
+        self._load_at = now
+
+    def on_failure(self, now: float, weight: float = 1.0) -> None:
+        """Counts a failed request."""
+        self._failures = min(MAX_FAILURES, self.failures(now) + weight)
+        self._failures_at = now
+
+    def on_success(self, now: float) -> None:
+        """Counts a good answer, which outweighs part of earlier failures."""
+        self._failures = self.failures(now) * 0.6
+        self._failures_at = now
+
+    def on_duration(self, now: float, factor: float, weight: float = 1.0) -> None:
+        """Takes the time of a request relative to the expected time.
+
+        Args:
+            now: seconds on the node's clock.
+            factor: measured time over expected time at the stated pace.
+            weight: 1 for an own observation, less for a report of another node.
+        """
+        bounded = min(MAX_SLOWNESS, max(MIN_SLOWNESS, factor))
+        current = self.slowness(now)
+        self._slowness = current + (bounded - current) * SLOWNESS_GAIN * weight
+        self._slowness_at = now
+
+    def failures(self, now: float) -> float:
+        """Returns the decayed number of recent failures."""
+        age = max(0.0, now - self._failures_at)
+        return self._failures * 0.5 ** (age / FAILURE_HALF_LIFE_S)
+
+    def slowness(self, now: float) -> float:
+        """Returns the factor by which the target is slower than its service; 1.0 is usual."""
+        age = max(0.0, now - self._slowness_at)
+        return 1.0 + (self._slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+
+    def freshness(self, now: float) -> float:
+        """Returns how much the load figures still say, from 1 for new ones down to 0."""
+        return math.exp(-max(0.0, self.load_age(now)) / REPORT_DECAY_S)
+
+    def on_sign(self, now: float, failures: float, slowness: float) -> None:
+        """Takes what another node has seen.
+
+        Args:
+            now: seconds on the node's clock.
+            failures: failed requests.
+            slowness: measured over expected time, or 0 if nothing was measured.
+        """
+        if failures > 0:
+            self.on_failure(now, failures * PEER_FAILURE_WEIGHT)
+        if slowness > 0:
+            self.on_duration(now, slowness, PEER_FAILURE_WEIGHT)
--- /dev/null
+++ b/packages/core/orioleloft_core/fleet.py
@@ -0,0 +1,368 @@
+"""Nodes of the fleet: who is alive, who serves, and what each of them knows.
+
+Each node pings one other node in each period. A node that misses a few pings is taken as down, and
+the others are told so that they check by themselves.
+"""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from orioleloft_core import hashing, packing
+from orioleloft_core.registry import ContentVersion
+
+# Time between two pings of a node to others, in seconds.
+PING_PERIOD_S = 0.25
+# Time for the answer to a ping, in seconds. Round trips take about 2 ms; the rest covers nodes that
+# are held up by their share of the processor.
+PING_TIMEOUT_S = 0.22
+# Missed pings in a row after which a node is taken as down.
+MISSES_UNTIL_DOWN = 3
+# Time between two pings to a node that is down, in seconds.
+DOWN_PING_PERIOD_S = 1.0
+# Nodes that watch the store for all others.
+WATCHERS = 2
+# Datagrams are kept below the usual size of a packet, in bytes.
+MAX_DATAGRAM_BYTES = 1300
+
+
+@dataclasses.dataclass(frozen=True)
+class Knowledge:
+    """Versions of the shared state that a node holds.
+
+    Attributes:
+        table: version of the route table, 0 for none.
+        targets: version of the registered targets.
+        closed_zones: version of the availability zones that are out.
+    """
+
+    table: int = 0
+    targets: ContentVersion = ContentVersion()
+    closed_zones: ContentVersion = ContentVersion()
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeState:
+    """What a node says of itself.
+
+    Attributes:
+        name: name of the node.
+        host: IP address.
+        zone: availability zone.
+        incarnation: start of the process; a greater one replaces a smaller one.
+        is_ready: whether it serves callers.
+        is_leaving: whether it is being stopped.
+        reaches_store: whether its last call to the store was answered.
+        knowledge: versions that it holds.
+    """
+
+    name: str
+    host: str
+    zone: str
+    incarnation: int
+    is_ready: bool
+    is_leaving: bool
+    reaches_store: bool
+    knowledge: Knowledge
+
+
+@dataclasses.dataclass(frozen=True)
+class Ping:
+    """Asks a node for an answer."""
+
+    sequence: int
+    state: NodeState
+
+
+@dataclasses.dataclass(frozen=True)
+class PingAnswer:
+    """Answers a ping."""
+
+    sequence: int
+    state: NodeState
+
+
+@dataclasses.dataclass(frozen=True)
+class Announcement:
+    """Tells a change of the sender's state."""
+
+    state: NodeState
+
+
+@dataclasses.dataclass(frozen=True)
+class DownClaim:
+    """Tells that the sender takes a node as down; each receiver checks by itself."""
+
+    state: NodeState
+    name: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetSign:
+    """Tells a sign of trouble at a target.
+
+    Attributes:
+        state: the sender.
+        target_id: the target.
+        failures: failed requests.
+        slowness: measured over expected time, or 0 if nothing was measured.
+    """
+
+    state: NodeState
+    target_id: str
+    failures: float
+    slowness: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashSign:
+    """Tells that a request has crashed a target.
+
+    Attributes:
+        state: the sender.
+        fingerprint: identifies the content of the request.
+        count: crashes that the sender knows of.
+    """
+
+    state: NodeState
+    fingerprint: str
+    count: int
+
+
+Datagram = Ping | PingAnswer | Announcement | DownClaim | TargetSign | CrashSign
+_CLASSES = packing.classes_of(Datagram)
+
+
+@dataclasses.dataclass(frozen=True)
+class Outgoing:
+    """A datagram to send.
+
+    Attributes:
+        host: IP address of the receiver.
+        datagram: what to send.
+    """
+
+    host: str
+    datagram: Datagram
+
+
+def pack(datagram: Datagram) -> list:
+    """Returns a datagram as lists and scalars."""
+    return packing.to_tagged(datagram)
+
+
+def unpack(values: list) -> Datagram:
+    """Reads `pack`'s form.
+
+    Raises:
+        ValueError: the values are no datagram.
+    """
+    return packing.from_tagged(_CLASSES, values)
+
+
+@dataclasses.dataclass
+class _Member:
+    """What this node knows of another one."""
+
+    name: str
+    host: str
+    zone: str
+    state: NodeState | None = None
+    misses: int = 0
+    is_down: bool = False
+    asked_at: float = -1e9
+    sequence: int = 0
+
+
+class Fleet:
+    """The other nodes as this node sees them.
+
+    Args:
+        state: what this node says of itself at the start.
+        rng: source of the order of pings.
+    """
+
+    def __init__(self, state: NodeState, rng: random.Random) -> None:
+        self._own = state
+        self._rng = rng
+        self._members: dict[str, _Member] = {}
+        self._round: list[str] = []
+        self._sequence = 0
+
+    @property
+    def own(self) -> NodeState:
+        """What this node says of itself."""
+        return self._own
+
+    @property
+    def names(self) -> set[str]:
+        """Names of all other nodes that are known, heard or not."""
+        return set(self._members)
+
+    def update(self, **changes: object) -> bool:
+        """Changes what this node says of itself; returns whether anything changed."""
+        new = dataclasses.replace(self._own, **changes)
+        is_changed = new != self._own
+        self._own = new
+        return is_changed
+
+    def add(self, name: str, host: str, zone: str) -> bool:
+        """Adds a node by its registration; returns whether it was unknown."""
+        if name == self._own.name or name in self._members:
+            return False
+        for known in [m for m in self._members.values() if m.host == host]:
+            del self._members[known.name]
+        self._members[name] = _Member(name, host, zone)
+        return True
+
+    def alive(self) -> list[NodeState]:
+        """Returns the states of the nodes that answer."""
+        members = self._members.values()
+        return [m.state for m in members if m.state is not None and not m.is_down]
+
+    def serving(self) -> list[NodeState]:
+        """Returns the nodes that serve callers, this one included."""
+        return [s for s in [self._own, *self.alive()] if s.is_ready and not s.is_leaving]
+
+    def hosts(self) -> list[str]:
+        """Returns the addresses of the nodes that answer."""
+        return [state.host for state in self.alive()]
+
+    def broadcast(self, datagram: Datagram) -> list[Outgoing]:
+        """Returns a datagram for each node that answers."""
+        return [Outgoing(host, datagram) for host in self.hosts()]
+
+    def announce(self) -> list[Outgoing]:
+        """Tells all nodes the state of this one."""
+        return self.broadcast(Announcement(self._own))
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Sends the pings that are due; called once in each `PING_PERIOD_S`."""
+        out = []
+        for member in list(self._members.values()):
+            is_open = member.sequence > 0 and now - member.asked_at >= PING_TIMEOUT_S
+            if not is_open or member.is_down:
+                continue
+            out += self._missed(now, member)
+        target = self._next_member(now)
+        if target is not None:
+            out.append(self._ping(now, target))
+        return out
+
+    def _missed(self, now: float, member: _Member) -> list[Outgoing]:
+        member.misses += 1
+        if member.misses < MISSES_UNTIL_DOWN:
+            return [self._ping(now, member)]
+        member.is_down = True
+        member.sequence = 0
+        incarnation = member.state.incarnation if member.state else 0
+        return self.broadcast(DownClaim(self._own, member.name, incarnation))
+
+    def _ping(self, now: float, member: _Member) -> Outgoing:
+        self._sequence += 1
+        member.sequence = self._sequence
+        member.asked_at = now
+        return Outgoing(member.host, Ping(self._sequence, self._own))
+
+    def _next_member(self, now: float) -> _Member | None:
+        for member in self._members.values():
+            if member.is_down and now - member.asked_at >= DOWN_PING_PERIOD_S:
+                return member
+        for _ in range(len(self._members)):
+            if not self._round:
+                self._round = list(self._members)
+                self._rng.shuffle(self._round)
+            member = self._members.get(self._round.pop())
+            if member is not None and not member.is_down and member.sequence == 0:
+                return member
+        return None
+
+    def receive(self, now: float, datagram: Datagram) -> list[Outgoing]:
+        """Takes a datagram; returns the answers to it."""
+        sender = self._hear(datagram.state)
+        if sender is None:
+            return []
+        match datagram:
+            case Ping(sequence=sequence):
+                return [Outgoing(sender.host, PingAnswer(sequence, self._own))]
+            case PingAnswer():
+                return []
+            case DownClaim(name=name, incarnation=incarnation):
+                return self._check(now, name, incarnation)
+        return []
+
+    def _hear(self, state: NodeState) -> _Member | None:
+        if state.name == self._own.name:
+            return None
+        self.add(state.name, state.host, state.zone)
+        member = self._members[state.name]
+        if member.state is not None and state.incarnation < member.state.incarnation:
+            return None
+        member.host = state.host
+        member.state = state
+        member.misses = 0
+        member.sequence = 0
+        member.is_down = False
+        return member
+
+    def _check(self, now: float, name: str, incarnation: int) -> list[Outgoing]:
+        if name == self._own.name:
+            return self.announce()
+        member = self._members.get(name)
+        if member is None or member.is_down or member.sequence > 0:
+            return []
+        if member.state is not None and member.state.incarnation > incarnation:
+            return []
+        member.misses = 1
+        return [self._ping(now, member)]
+
+    def is_watcher(self) -> bool:
+        """Whether this node is among those that watch the store for all.
+
+        The choice falls on nodes that reach the store, so that a partition from the store moves
+        the watch to others. A node that cannot reach any other watches by itself.
+        """
+        able = [s for s in self.alive() if s.reaches_store and not s.is_leaving]
+        ranked = hashing.order("watch", {self._own.name, *(s.name for s in able)})
+        return self._own.name in ranked[:WATCHERS]
+
+    def newer(self) -> list[NodeState]:
+        """Returns the nodes that hold a newer version of anything than this one."""
+        return [s for s in self.alive() if is_newer(s.knowledge, self._own.knowledge)]
+
+
+def is_newer(other: Knowledge, own: Knowledge) -> bool:
+    """Whether another node's knowledge is ahead in any part."""
+    return (
+        other.table > own.table
+        or other.targets > own.targets
+        or other.closed_zones > own.closed_zones
+    )
+
+
+def entry_addresses(
+    serving: Iterable[NodeState], own: NodeState, zone: str, limit: int
+) -> list[str]:
+    """Returns the hosts that a caller in a zone should connect to.
+
+    Nodes of the caller's zone save bytes between zones. Where fewer than `MIN_LOCAL` of them
+    serve, all nodes are named, so that the few are not pressed by a whole zone of callers.
+
+    Args:
+        serving: the nodes that serve.
+        own: state of the node that answers, for the case that no node is known to serve.
+        zone: availability zone of the caller.
+        limit: largest number of hosts.
+    """
+    states = list(serving)
+    if not states:
+        return [] if own.is_leaving else [own.host]
+    local = [state.host for state in states if state.zone == zone]
+    if len(local) >= MIN_LOCAL:
+        return local[:limit]
+    return (local + [state.host for state in states if state.zone != zone])[:limit]
+
+
+# Fewest serving nodes in the caller's zone for which only these are named.
+MIN_LOCAL = 2
--- /dev/null
+++ b/packages/node/orioleloftd/entry.py
@@ -0,0 +1,479 @@
+"""One entry node: its parts, its timers and what it does when it starts, changes and stops."""
+
+import asyncio
+import json
+import logging
+import random
+import time
+from collections.abc import Callable
+
+from orioleloft_core import fleet as fleets
+from orioleloft_core.coldstart import ColdStarts
+from orioleloft_core.entrysettings import Endpoint, EntrySettings
+from orioleloft_core.errors import Code
+from orioleloft_core.fleet import (
+    Announcement,
+    CrashSign,
+    Datagram,
+    Fleet,
+    Knowledge,
+    NodeState,
+    Outgoing,
+    TargetSign,
+)
+from orioleloft_core.fleetbudget import FleetBudget
+from orioleloft_core.registry import (
+    ClosedZones,
+    Registry,
+    TargetList,
+    apply_changes,
+    hold_removals,
+)
+from orioleloft_core.routes import CallerLimits, RouteTable, ShareChooser
+from orioleloft_core.stopping import Stopping
+from orioleloftd.connections import ExchangeError, HttpClient
+from orioleloftd.exposition import NodeMetrics
+from orioleloftd.forwarding import EntryReply, EntryRequest, Forwarder
+from orioleloftd.frontend import CallerConnections, Document, DocumentServer
+from orioleloftd.logs import log_event
+from orioleloftd.peering import STATE_PATH, DatagramPort, StateExchange
+from orioleloftd.storesync import (
+    NodeRegistration,
+    Store,
+    StoreError,
+    StoreSync,
+    TargetChanges,
+)
+from orioleloftd.wire import Wire
+
+# Largest number of entry nodes for which the budget of extra dispatches is shared out.
+MAX_NODES_FACTOR = 1.3
+MIN_NODES = 18
+# Time between two sweeps over idle connections, in seconds.
+SWEEP_PERIOD_S = 1.0
+# Time between two looks at the registered nodes, in seconds. Nodes find each other by pings; the
+# list only heals a fleet that has come apart.
+NODES_PERIOD_S = 15.0
+# Addresses in an answer to a caller.
+MAX_ADDRESSES = 64
+# Lifetime of the entry addresses that callers get, in seconds.
+ADDRESS_LIFETIME_S = 2.0
+# Delay before the shared state is fetched from another node, in seconds; a datagram with the same
+# change may be on its way.
+FETCH_DELAY_S = 0.02
+# Share of the memory that bodies of requests may take.
+BODY_MEMORY_SHARE = 0.25
+# Until the first configuration is known, these limits hold.
+FIRST_LIMITS = CallerLimits(16 * 1024, 1024 * 1024, 3.0, 15.0)
+# At the first start of the whole fleet nodes wait for each other's news for up to this long before
+# they read the store themselves, in seconds.
+FIRST_START_SPREAD_S = 2.0
+
+_log = logging.getLogger(__name__)
+
+
+def node_clock() -> float:
+    """Returns seconds on a clock that runs on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class EntryNode:
+    """One entry node.
+
+    Args:
+        settings: its settings.
+        wire: form of the headers of callers and targets.
+        store: the platform's store.
+        pages: answers calls of the platform by path: method, path and query to a document, or
+            None for a path that is not served.
+        stop: called once when the node has stopped.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, wire: Wire, store: Store, stop: Callable[[], None]
+    ) -> None:
+        self._settings = settings
+        self._wire = wire
+        self._store = store
+        self._stop = stop
+        self._rng = random.Random()
+        self._table: RouteTable | None = None
+        self._registry = Registry()
+        self._shares = ShareChooser(self._rng)
+        self._metrics = NodeMetrics()
+        self._fleet = Fleet(self._first_state(), self._rng)
+        self._port = DatagramPort(settings.peers.port, self._on_datagram)
+        self._client = HttpClient(node_clock)
+        self._exchange = StateExchange(self._client, settings.peers.port)
+        self._sync = StoreSync(store, self, self._watches, node_clock, self._rng)
+        self._forwarder = self._make_forwarder()
+        self._callers = CallerConnections(self, wire)
+        self._stopping = Stopping(settings.bounds.grace_period)
+        self._tasks: set[asyncio.Task] = set()
+        self._fetching = False
+        self._buffered = 0
+        self._may_read_store = False
+
+    def _first_state(self) -> NodeState:
+        settings = self._settings
+        incarnation = time.time_ns() // 1_000_000
+        return NodeState(
+            settings.name,
+            settings.peers.host,
+            settings.zone,
+            incarnation,
+            False,
+            False,
+            True,
+            Knowledge(),
+        )
+
+    def _make_forwarder(self) -> Forwarder:
+        bounds = self._settings.bounds
+        return Forwarder(
+            wire=self._wire,
+            table=lambda: self._table,
+            registry=self._registry,
+            nodes=lambda: self._fleet.names,
+            zone=self._settings.zone,
+            budget=FleetBudget(
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window, MIN_NODES
+            ),
+            cold_starts=ColdStarts(self._settings.name, bounds.cold_multiplier, bounds.cold_slack),
+            tell=self._tell_sign,
+            tell_crash=self._tell_crash,
+            count=self._metrics.count,
+            clock=node_clock,
+            rng=self._rng,
+        )
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Opens all addresses and begins to learn the shared state."""
+        settings = self._settings
+        await self._port.open(settings.peers.host)
+        self._callers.listen(settings.callers.port, settings.callers.host)
+        DocumentServer(self._answer_peer).listen(settings.peers.host, settings.peers.port)
+        if settings.metrics is not None:
+            server = DocumentServer(self._answer_metrics)
+            server.listen(settings.metrics.host, settings.metrics.port)
+        log_event(_log, "started", incarnation=self._fleet.own.incarnation, zone=settings.zone)
+        self._spawn(self._join())
+        self._spawn(self._every(fleets.PING_PERIOD_S, self._tick))
+        self._spawn(self._every(SWEEP_PERIOD_S, self._forwarder.sweep))
+
+    def _spawn(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("background task failed", exc_info=task.exception())
+
+    async def _every(self, period: float, work: Callable[[], None]) -> None:
+        while True:
+            await asyncio.sleep(period)
+            try:
+                work()
+            except Exception:
+                _log.exception("periodic work failed")
+
+    async def _join(self) -> None:
+        """Finds the other nodes and the shared state."""
+        asks = [self._ask_seed(seed) for seed in self._settings.seeds]
+        await asyncio.gather(*asks)
+        if self._settings.is_first_start and not self.is_ready:
+            await asyncio.sleep(self._rng.random() * FIRST_START_SPREAD_S)
+            self._fetch_newer()
+        self._may_read_store = True
+        self._sync.start()
+        registration = NodeRegistration(
+            self._settings.name, self._settings.peers.host, self._settings.zone
+        )
+        is_registered = False
+        while True:
+            try:
+                if not is_registered:
+                    await self._store.register_node(registration)
+                    is_registered = True
+                if self._fleet.is_watcher():
+                    self._add_nodes(
+                        (node.name, node.host, node.zone) for node in await self._store.read_nodes()
+                    )
+            except StoreError as error:
+                log_event(_log, "nodes not read", logging.WARNING, reason=str(error))
+                await asyncio.sleep(self._rng.uniform(0.5, 1.5))
+                continue
+            await asyncio.sleep(NODES_PERIOD_S * self._rng.uniform(0.8, 1.2))
+
+    async def _ask_seed(self, seed: Endpoint) -> None:
+        if seed.host == self._settings.peers.host:
+            return
+        await self._fetch(seed.host)
+
+    def _add_nodes(self, nodes) -> None:
+        for name, host, zone in nodes:
+            if self._fleet.add(name, host, zone):
+                log_event(_log, "node learned", node=name, host=host)
+
+    def stop(self) -> None:
+        """Begins a planned stop; a second call changes nothing."""
+        if not self._stopping.begin(node_clock()):
+            return
+        log_event(_log, "stopping", requests=self._callers.open_requests)
+        self._sync.stop()
+        self._update(is_leaving=True, is_ready=False)
+        self._spawn(self._wind_down())
+
+    async def _wind_down(self) -> None:
+        while not self._stopping.is_over(node_clock(), self._callers.open_requests):
+            self._port.send(self._fleet.announce())
+            await asyncio.sleep(0.2)
+        log_event(_log, "stopped", requests=self._callers.open_requests)
+        self._port.close()
+        self._stop()
+
+    # Shared state.
+
+    def _watches(self) -> bool:
+        return self._may_read_store and self._fleet.is_watcher()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node can serve callers."""
+        is_loaded = self._table is not None and self._registry.is_loaded
+        return is_loaded and not self._stopping.has_begun
+
+    def _update(self, **changes: object) -> None:
+        """Changes what this node says of itself and tells the others."""
+        if self._fleet.update(**changes):
+            self._port.send(self._fleet.announce())
+
+    def _knowledge(self) -> Knowledge:
+        return Knowledge(
+            self._table.version if self._table else 0,
+            self._registry.target_list.version,
+            self._registry.closed_zones.version,
+        )
+
+    def _publish(self) -> None:
+        was_ready = self._fleet.own.is_ready
+        self._update(knowledge=self._knowledge(), is_ready=self.is_ready)
+        if self.is_ready and not was_ready:
+            log_event(_log, "ready", table=self._table.version)
+
+    def on_table(self, table: RouteTable, source: str) -> None:
+        """Takes a route table; an older one than that in force changes nothing."""
+        if self._table is not None and table.version <= self._table.version:
+            return
+        self._table = table
+        self._shares.keep_only(table.routes)
+        self._callers.apply_limits(table.limits)
+        log_event(_log, "table in force", version=table.version, source=source)
+        self._publish()
+
+    def on_targets(self, targets: TargetList, source: str) -> None:
+        """Takes a complete list of targets."""
+        if self._registry.adopt_targets(targets):
+            self._log_targets(source)
+            self._publish()
+
+    def on_target_changes(self, since: int, changes: TargetChanges) -> None:
+        """Takes changes since a revision."""
+        current = self._registry.target_list
+        if since > current.version.revision:
+            return
+        self.on_targets(
+            apply_changes(current, changes.revision, changes.changed, changes.removed), "watch"
+        )
+
+    def on_target_gap(self, targets: TargetList, source: str) -> None:
+        """Takes a list read after an outage, in which living targets may be missing."""
+        self.on_targets(hold_removals(self._registry.target_list, targets), source)
+
+    def on_closed_zones(self, closed: ClosedZones, source: str) -> None:
+        """Takes the availability zones that are out."""
+        before = self._registry.closed_zones.zones
+        if not self._registry.adopt_closed_zones(closed):
+            return
+        if closed.zones != before:
+            log_event(_log, "closed zones in force", zones=closed.zones, source=source)
+        self._publish()
+
+    def on_store_reached(self, is_reached: bool) -> None:
+        """Takes whether the last call to the store was answered."""
+        self._update(reaches_store=is_reached)
+
+    def _log_targets(self, source: str) -> None:
+        targets = self._registry.target_list
+        log_event(
+            _log,
+            "targets in force",
+            revision=targets.version.revision,
+            settled=targets.version.is_settled,
+            count=len(targets.targets),
+            draining=[target.id for target in targets.targets if target.is_draining],
+            source=source,
+        )
+
+    # Other nodes.
+
+    def _tick(self) -> None:
+        down_before = len(self._fleet.alive())
+        self._port.send(self._fleet.tick(node_clock()))
+        if len(self._fleet.alive()) < down_before:
+            log_event(_log, "node down", alive=[state.name for state in self._fleet.alive()])
+        self._spawn(self._sync.poke())
+        self._fetch_newer()
+
+    def _on_datagram(self, datagram: Datagram) -> None:
+        now = node_clock()
+        alive_before = len(self._fleet.alive())
+        self._port.send(self._fleet.receive(now, datagram))
+        if len(self._fleet.alive()) > alive_before:
+            log_event(_log, "node heard", node=datagram.state.name)
+        match datagram:
+            case TargetSign():
+                self._on_sign(now, datagram)
+            case CrashSign(fingerprint=fingerprint, count=count):
+                self._forwarder.crashes.merge(now, fingerprint, count)
+            case Announcement():
+                self._fetch_newer()
+
+    def _on_sign(self, now: float, sign: TargetSign) -> None:
+        evidence = self._forwarder.evidence_by_id(sign.target_id)
+        if evidence is not None:
+            evidence.on_sign(now, sign.failures, sign.slowness)
+
+    def _tell_sign(self, target_id: str, failures: float, slowness: float) -> None:
+        sign = TargetSign(self._fleet.own, target_id, failures, slowness)
+        self._port.send(self._fleet.broadcast(sign))
+
+    def _tell_crash(self, fingerprint: str, count: int) -> None:
+        self._port.send(self._fleet.broadcast(CrashSign(self._fleet.own, fingerprint, count)))
+
+    def _fetch_newer(self) -> None:
+        """Fetches the shared state from a node that holds a newer version."""
+        newer = self._fleet.newer()
+        if not newer or self._fetching:
+            return
+        self._fetching = True
+        self._spawn(self._fetch_from(self._rng.choice(newer).host))
+
+    async def _fetch_from(self, host: str) -> None:
+        try:
+            await asyncio.sleep(FETCH_DELAY_S)
+            await self._fetch(host)
+        finally:
+            self._fetching = False
+
+    async def _fetch(self, host: str) -> None:
+        try:
+            state = await self._exchange.fetch(host, self._knowledge())
+        except ExchangeError as error:
+            log_event(_log, "state not fetched", source=host, reason=str(error))
+            return
+        self._add_nodes(state.nodes)
+        if state.table is not None:
+            self.on_table(state.table, host)
+        if state.targets is not None:
+            self.on_targets(state.targets, host)
+        if state.closed_zones is not None:
+            self.on_closed_zones(state.closed_zones, host)
+
+    # Documents.
+
+    def _answer_peer(self, method: str, path: str, query: dict[str, str]) -> Document:
+        if path != STATE_PATH:
+            return 404, "text/plain", b"unknown path"
+        own = self._fleet.own
+        nodes = [(state.name, state.host, state.zone) for state in [own, *self._fleet.alive()]]
+        registry = self._registry
+        return self._exchange.answer(
+            query, self._table, registry.target_list, registry.closed_zones, nodes
+        )
+
+    def _answer_metrics(self, method: str, path: str, query: dict[str, str]) -> Document:
+        return 200, "text/plain; version=0.0.4", self._metrics.page()
+
+    def entry_hosts(self, zone: str) -> list[str]:
+        """Returns the hosts that a caller in a zone should connect to."""
+        serving = self._fleet.serving()
+        return fleets.entry_addresses(serving, self._fleet.own, zone, MAX_ADDRESSES)
+
+    def address_lifetime(self) -> float:
+        """Returns the lifetime of entry addresses in seconds."""
+        bounds = self._settings.bounds
+        lifetime = max(ADDRESS_LIFETIME_S, self._settings.min_address_lifetime)
+        return min(lifetime, bounds.max_address_lifetime)
+
+    # Callers.
+
+    def now(self) -> float:
+        """Returns the time in seconds on the node's clock."""
+        return node_clock()
+
+    def limits(self) -> CallerLimits:
+        """Returns the limits in force."""
+        return self._table.limits if self._table else FIRST_LIMITS
+
+    def closes_connections(self) -> bool:
+        """Whether callers should go to other nodes after their answer."""
+        return self._stopping.has_begun
+
+    def may_buffer(self, size: int) -> bool:
+        """Whether the node has memory for more of a body."""
+        return size + self._buffered <= self._settings.memory_bytes * BODY_MEMORY_SHARE
+
+    async def serve(self, request: EntryRequest) -> EntryReply:
+        """Returns the answer to a request."""
+        self._buffered += len(request.body)
+        route_name = ""
+        try:
+            reply = None
+            if self._table is None or not self._registry.is_loaded:
+                reply = self._refuse(request, Code.NODE_STARTING, "no configuration is known")
+            elif self._stopping.refuses(node_clock()):
+                reply = self._refuse(request, Code.NODE_STOPPING, "the node stops")
+            if reply is None:
+                route = self._table.route(request.host, request.path)
+                if route is None:
+                    text = f"no route in version {self._table.version}"
+                    reply = self._refuse(request, Code.UNKNOWN_SERVICE, text)
+                else:
+                    route_name = route.name
+                    service = self._shares.choose(route)
+                    reply = await self._forwarder.forward(request, route, service)
+        finally:
+            self._buffered -= len(request.body)
+        self._record(request, route_name, reply)
+        return reply
+
+    def _refuse(self, request: EntryRequest, code: Code, text: str) -> EntryReply:
+        return self._forwarder.error_reply(request.id, code, text)
+
+    def _record(self, request: EntryRequest, route: str, reply: EntryReply) -> None:
+        seconds = node_clock() - request.arrived_at
+        self._metrics.observe(route, reply.status, seconds)
+        log_event(
+            _log,
+            "request answered",
+            request=request.id,
+            route=route,
+            status=reply.status,
+            ms=round(seconds * 1000),
+            code=reply.code.value if reply.code else None,
+            reason=reply.message or None,
+            retry_after=round(reply.retry_after, 2) if reply.retry_after else None,
+        )
+
+
+def as_json(document: object) -> bytes:
+    """Returns a document as JSON."""
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+__all__ = ["EntryNode", "Outgoing", "as_json", "node_clock"]
--- a/packages/node/orioleloftd/server.py
+++ b/packages/node/orioleloftd/server.py
@@ -1,7 +1,6 @@
 """HTTP server for callers: reads requests whole, checks them and writes answers."""
 
 import asyncio
-import dataclasses
 import json
 import logging
 import socket
@@ -11,17 +10,23 @@
 
 from tornado import http1connection, httpserver, httputil, iostream
 
-from orioleloft_core.errors import KINDS, Code, Outcome
+from orioleloft_core.errors import Code, Outcome
 from orioleloft_core.request import Reply, Request, error_reply
 from orioleloft_core.settings import Settings
 from orioleloftd import targetprotocol
+from orioleloftd.streams import (
+    CODE,
+    OUTCOME,
+    CallerStream,
+    Refusal,
+    error_body,
+    framing_fault,
+)
 
 SERVICE = "Orioleloft-Service"
 CUSTOMER = "Orioleloft-Customer"
 DEADLINE_MS = "Orioleloft-Deadline-Ms"
 KEY = "Orioleloft-Key"
-OUTCOME = "Orioleloft-Outcome"
-CODE = "Orioleloft-Code"
 REQUEST_ID = "Orioleloft-Request-Id"
 
 ADDRESSES_PATH = "/_orioleloft/addresses"
@@ -29,20 +34,12 @@
 OWN_PATHS = "/_orioleloft/"
 CLOSE = "close"
 
-METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"})
 MAX_NAME_CHARS = 256
 
 # A caller may keep an unused connection for this long.
 IDLE_SECONDS = 60.0
-# After a refusal the rest of the request is read for this long: closing a socket with unread
-# bytes resets the connection, and the reset can destroy the refusal before the caller reads it.
-LINGER_SECONDS = 1.0
-LINGER_BYTES = 4 * 1024 * 1024
 FLUSH_POLL_SECONDS = 0.01
 
-# What tornado writes by itself for a request that it cannot parse.
-_BARE_REFUSAL = b"HTTP/1.1 400 Bad Request\r\n\r\n"
-
 _log = logging.getLogger(__name__)
 
 
@@ -68,88 +65,6 @@
         """Returns the node's state for operators."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Refusal:
-    """Why a request is refused before the node sees it."""
-
-    code: Code
-    message: str
-
-
-class CallerStream(iostream.IOStream):
-    """A caller's connection, which answers refusals of the HTTP parser in full.
-
-    Attributes:
-        refusal: why the request is refused, if this is known better than by the parser.
-        on_first_byte: called when the first byte of a request arrives.
-    """
-
-    refusal: Refusal | None = None
-    on_first_byte: Callable[[], None] | None = None
-    _lingers = False
-
-    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Reads, and tells that a request has begun."""
-        count = super().read_from_fd(buf)
-        if count and self.on_first_byte is not None:
-            callback, self.on_first_byte = self.on_first_byte, None
-            callback()
-        return count
-
-    def write(self, data: bytes | memoryview) -> Any:
-        """Writes; the parser's bare refusal is replaced by one with code and outcome."""
-        if data != _BARE_REFUSAL:
-            return super().write(data)
-        self._lingers = True
-        default = Refusal(Code.MALFORMED_REQUEST, "The request is not valid HTTP/1.1.")
-        return super().write(refusal_bytes(self.refusal or default))
-
-    def refuse(self, refusal: Refusal) -> None:
-        """Writes a refusal and closes the connection."""
-        if self.closed():
-            return
-        self.refusal = refusal
-        self.write(_BARE_REFUSAL)
-        self.close()
-
-    def close(self, exc_info: Any = False) -> None:
-        """Closes; after a refusal, only once the caller has had the time to read it."""
-        if isinstance(exc_info, iostream.UnsatisfiableReadError) and not self.closed():
-            # The header block is over the limit. The stream cannot be read any more.
-            self._send_now(Refusal(Code.REQUEST_TOO_LARGE, "The header block is too large."))
-        if not self._lingers or self.closed():
-            super().close(exc_info)
-            return
-        self._lingers = False
-        asyncio.get_running_loop().create_task(self._linger())
-
-    async def _linger(self) -> None:
-        try:
-            async with asyncio.timeout(LINGER_SECONDS):
-                self._shut_down_writing()
-                left = LINGER_BYTES
-                while left > 0:
-                    left -= len(await self.read_bytes(65536, partial=True))
-        except (TimeoutError, OSError, AssertionError, iostream.StreamClosedError):
-            pass
-        super().close()
-
-    def _shut_down_writing(self) -> None:
-        if not self.writing():
-            self.socket.shutdown(socket.SHUT_WR)
-
-    def _send_now(self, refusal: Refusal) -> None:
-        try:
-            self.socket.send(refusal_bytes(refusal))
-            self.socket.shutdown(socket.SHUT_WR)
-            # Reading what has arrived avoids a reset that would destroy the refusal.
-            for _ in range(LINGER_BYTES // 65536):
-                if not self.socket.recv(65536):
-                    return
-        except OSError:
-            return
-
-
 class CallerServer(httpserver.HTTPServer):
     """Accepts callers' connections."""
 
@@ -252,7 +167,7 @@
         self._started = self._gateway.now()
         self._start_line = start_line
         self._headers = headers
-        refusal = _framing_fault(start_line, headers, self._settings.requests.max_body_bytes)
+        refusal = framing_fault(start_line, headers, self._settings.requests.max_body_bytes)
         if refusal is not None:
             self._refuse(refusal)
 
@@ -368,64 +283,3 @@
         self._connection.finish()
         if headers.get("Connection") == CLOSE:
             written.add_done_callback(lambda _: self._stream.close())
-
-
-def error_body(code: Code, message: str, outcome: Outcome) -> bytes:
-    """Returns the JSON body of an error."""
-    document = {
-        "code": code.value,
-        "message": message,
-        "outcome": outcome.value,
-        "remedy": KINDS[code].remedy,
-    }
-    return json.dumps(document).encode()
-
-
-def refusal_bytes(refusal: Refusal) -> bytes:
-    """Returns a whole answer after which the connection is closed."""
-    kind = KINDS[refusal.code]
-    body = error_body(refusal.code, refusal.message, kind.outcome)
-    lines = (
-        f"HTTP/1.1 {kind.status} {httputil.responses[kind.status]}",
-        "Content-Type: application/json",
-        f"Content-Length: {len(body)}",
-        "Connection: close",
-        f"{OUTCOME}: {kind.outcome.value}",
-        f"{CODE}: {refusal.code.value}",
-    )
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
-def _framing_fault(
-    start_line: httputil.RequestStartLine, headers: httputil.HTTPHeaders, max_body_bytes: int
-) -> Refusal | None:
-    """Checks what decides where a request ends, so that no other reader can see another end."""
-    lengths = headers.get_list("Content-Length")
-    codings = headers.get_list("Transfer-Encoding")
-    malformed = [
-        (start_line.method not in METHODS, "The method is not supported."),
-        (not _is_path(start_line.path), "The request target is not a path."),
-        (len(headers.get_list("Host")) != 1, "The request needs exactly one Host header."),
-        (bool(lengths and codings), "Content-Length and Transfer-Encoding exclude each other."),
-        (len(lengths) > 1, "Content-Length is stated twice."),
-        (not _is_length(lengths), "Content-Length is not a number."),
-        (codings not in ([], ["chunked"]), "The only Transfer-Encoding supported is chunked."),
-        (
-            bool(codings) and start_line.version != "HTTP/1.1",
-            "Transfer-Encoding needs HTTP/1.1.",
-        ),
-    ]
-    for is_faulty, message in malformed:
-        if is_faulty:
-            return Refusal(Code.MALFORMED_REQUEST, message)
-    if lengths and int(lengths[0]) > max_body_bytes:
-        return Refusal(Code.REQUEST_TOO_LARGE, f"The body is over {max_body_bytes} bytes.")
-    return None
-
-
-def _is_path(path: str) -> bool:
-    return path.isascii() and path.startswith("/") and "#" not in path
-
-
-def _is_length(lengths: list[str]) -> bool:
-    return all(text.isascii() and text.isdigit() and len(text) < 16 for text in lengths)
--- /dev/null
+++ b/packages/node/orioleloftd/storesync.py
@@ -0,0 +1,299 @@
+"""Keeps the shared state of this node up to date from the platform's store."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from orioleloft_core.budget import Backoff
+from orioleloft_core.registry import ClosedZones, RegisteredTarget, TargetList
+from orioleloft_core.routes import RouteTable
+from orioleloftd.logs import log_event
+
+# Time for which the store may hold a watch, in seconds. A silent connection is noticed this long
+# after it fell silent; a shorter time costs calls.
+WATCH_S = 4.0
+# Pause between a change and the next watch, in seconds: changes come in groups, and each call is
+# paid for.
+GROUP_S = 0.15
+# Time for an answer beyond the time that a watch may wait, in seconds.
+ANSWER_S = 0.8
+# Time after the return of the store within which lapsed registrations are back, in seconds; stated
+# by the platform.
+SETTLE_S = 2.2
+# Without an answer for this long, registrations may have lapsed meanwhile, in seconds.
+OUTAGE_S = 2.5
+# Delay before the first and the longest delay before a further call to a store that does not
+# answer, in seconds.
+RETRY_FIRST_S = 0.1
+RETRY_MAX_S = 0.8
+
+_log = logging.getLogger(__name__)
+
+
+class StoreError(Exception):
+    """The store did not answer a call, or refused it."""
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer has the changes that a watch asks for."""
+
+
+@dataclasses.dataclass(frozen=True)
+class TargetChanges:
+    """Changes of the registered targets up to a revision."""
+
+    revision: int
+    changed: tuple[RegisteredTarget, ...]
+    removed: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeRegistration:
+    """Registration of an entry node."""
+
+    name: str
+    host: str
+    zone: str
+
+
+class Store(Protocol):
+    """What the node reads from and writes to the platform's store.
+
+    Each call raises `StoreError` if the store gives no useful answer.
+    """
+
+    async def read_table(self) -> tuple[RouteTable | None, int]:
+        """Returns the newest valid route table, if there is one, and the store's revision."""
+
+    async def watch_table(self, revision: int, wait: float) -> tuple[RouteTable | None, int]:
+        """Waits for a newer table."""
+
+    async def read_targets(self) -> TargetList:
+        """Returns all registered targets."""
+
+    async def watch_targets(self, revision: int, wait: float) -> TargetChanges:
+        """Waits for changes of the targets."""
+
+    async def read_closed_zones(self) -> ClosedZones:
+        """Returns the availability zones that operators have taken out."""
+
+    async def watch_closed_zones(self, revision: int, wait: float) -> int:
+        """Waits for a change of these zones; returns the revision reached, 0 for a change."""
+
+    async def read_nodes(self) -> list[NodeRegistration]:
+        """Returns the registered entry nodes."""
+
+    async def register_node(self, node: NodeRegistration) -> None:
+        """Registers an entry node."""
+
+
+class SharedStateOwner(Protocol):
+    """Takes what was read."""
+
+    def on_table(self, table: RouteTable, source: str) -> None:
+        """Takes a route table."""
+
+    def on_targets(self, targets: TargetList, source: str) -> None:
+        """Takes a list of targets that is complete."""
+
+    def on_target_changes(self, since: int, changes: TargetChanges) -> None:
+        """Takes changes since a revision."""
+
+    def on_target_gap(self, targets: TargetList, source: str) -> None:
+        """Takes a list read after an outage, in which living targets may be missing."""
+
+    def on_closed_zones(self, closed: ClosedZones, source: str) -> None:
+        """Takes the zones that are out."""
+
+    def on_store_reached(self, is_reached: bool) -> None:
+        """Takes whether the last call was answered."""
+
+
+class StoreSync:
+    """Reads and watches the store while this node is one of its watchers.
+
+    Args:
+        store: the store.
+        owner: takes what was read.
+        is_watcher: whether this node watches.
+        clock: seconds on the node's clock.
+        rng: source of jitter.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        owner: SharedStateOwner,
+        is_watcher: Callable[[], bool],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._owner = owner
+        self._is_watcher = is_watcher
+        self._clock = clock
+        self._rng = rng
+        self._turn = asyncio.Condition()
+        self._failing_since: float | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Starts to read and watch."""
+        loop = asyncio.get_running_loop()
+        for part in (_TablePart, _TargetsPart, _ZonesPart):
+            self._tasks.append(loop.create_task(self._run(part(self._store, self._owner, self))))
+
+    def stop(self) -> None:
+        """Ends all reading."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def poke(self) -> None:
+        """Looks again whether this node watches."""
+        async with self._turn:
+            self._turn.notify_all()
+
+    def outage(self) -> float:
+        """Returns for how long the store has not answered, in seconds; 0 if it does."""
+        return 0.0 if self._failing_since is None else self._clock() - self._failing_since
+
+    def now(self) -> float:
+        """Returns the time in seconds on the node's clock."""
+        return self._clock()
+
+    async def _run(self, part: "_TablePart | _TargetsPart | _ZonesPart") -> None:
+        backoff = Backoff(RETRY_FIRST_S, RETRY_MAX_S, self._rng)
+        while True:
+            if not self._is_watcher():
+                part.restart()
+                async with self._turn:
+                    await self._turn.wait_for(self._is_watcher)
+            started = self._clock()
+            try:
+                await part.step()
+            except HistoryGoneError as error:
+                log_event(_log, "history gone", part=part.name, reason=str(error))
+                part.restart()
+            except StoreError as error:
+                part.restart()
+                self._failed(started, part.name, error)
+                await asyncio.sleep(backoff.next_delay())
+                continue
+            backoff.reset()
+            self._answered()
+
+    def _failed(self, started: float, part: str, error: StoreError) -> None:
+        if self._failing_since is None:
+            log_event(_log, "store lost", logging.WARNING, part=part, reason=str(error))
+            self._failing_since = started
+        self._failing_since = min(self._failing_since, started)
+        self._owner.on_store_reached(False)
+
+    def _answered(self) -> None:
+        if self._failing_since is not None:
+            log_event(_log, "store regained", after=round(self.outage(), 2))
+        self._failing_since = None
+        self._owner.on_store_reached(True)
+
+
+class _TablePart:
+    """Keeps the route table."""
+
+    name = "table"
+
+    def __init__(self, store: Store, owner: SharedStateOwner, sync: StoreSync) -> None:
+        self._store = store
+        self._owner = owner
+        self._revision = 0
+
+    def restart(self) -> None:
+        """Reads the whole part with the next step."""
+        self._revision = 0
+
+    async def step(self) -> None:
+        """Makes one call."""
+        if not self._revision:
+            table, self._revision = await self._store.read_table()
+        else:
+            table, self._revision = await self._store.watch_table(self._revision, WATCH_S)
+        if table is not None:
+            self._owner.on_table(table, "store")
+            await asyncio.sleep(GROUP_S)
+
+
+class _ZonesPart:
+    """Keeps the availability zones that are out."""
+
+    name = "closed zones"
+
+    def __init__(self, store: Store, owner: SharedStateOwner, sync: StoreSync) -> None:
+        self._store = store
+        self._owner = owner
+        self._revision = 0
+
+    def restart(self) -> None:
+        """Reads the whole part with the next step."""
+        self._revision = 0
+
+    async def step(self) -> None:
+        """Makes one call."""
+        if self._revision:
+            self._revision = await self._store.watch_closed_zones(self._revision, WATCH_S)
+            return
+        closed = await self._store.read_closed_zones()
+        self._owner.on_closed_zones(closed, "store")
+        self._revision = closed.version.revision
+
+
+class _TargetsPart:
+    """Keeps the registered targets.
+
+    After an outage of the store living targets may be missing from its list for a while. Their
+    removal is held back until the list is read again.
+    """
+
+    name = "targets"
+
+    def __init__(self, store: Store, owner: SharedStateOwner, sync: StoreSync) -> None:
+        self._store = store
+        self._owner = owner
+        self._sync = sync
+        self._revision = 0
+        self._settled_at: float | None = None
+
+    def restart(self) -> None:
+        """Reads the whole part with the next step."""
+        self._revision = 0
+
+    async def step(self) -> None:
+        """Makes one call."""
+        if self._settled_at is not None and self._sync.now() >= self._settled_at:
+            self._revision = 0
+        if not self._revision:
+            await self._read()
+            return
+        since = self._revision
+        wait = WATCH_S
+        if self._settled_at is not None:
+            wait = max(0.1, min(wait, self._settled_at - self._sync.now()))
+        changes = await self._store.watch_targets(since, wait)
+        self._revision = changes.revision
+        if not changes.changed and not changes.removed:
+            return
+        self._owner.on_target_changes(since, changes)
+        await asyncio.sleep(GROUP_S)
+
+    async def _read(self) -> None:
+        outage = self._sync.outage()
+        targets = await self._store.read_targets()
+        self._revision = targets.version.revision
+        if self._settled_at is None and outage > OUTAGE_S:
+            self._settled_at = self._sync.now() + SETTLE_S
+        if self._settled_at is not None and self._sync.now() < self._settled_at:
+            self._owner.on_target_gap(targets, "store")
+            return
+        self._settled_at = None
+        self._owner.on_targets(targets, "store")
--- a/packages/node/orioleloftd/targetclient.py
+++ b/packages/node/orioleloftd/targetclient.py
@@ -15,6 +15,7 @@
 from orioleloft_core.effects import Dispatch
 from orioleloft_core.request import DispatchResult, Ending, LoadReport, Request
 from orioleloftd import targetprotocol
+from orioleloftd.streams import TargetStream
 
 IDLE_SECONDS = 60.0
 CONNECT_SECONDS = 1.0
@@ -23,26 +24,6 @@
 _log = logging.getLogger(__name__)
 
 
-class TargetStream(iostream.IOStream):
-    """A stream that tells whether received bytes are still unread."""
-
-    @property
-    def has_unread(self) -> bool:
-        """Whether bytes were received that nobody has read."""
-        return self._read_buffer_size > 0
-
-    def peek(self) -> bytes | None:
-        """Looks at the socket: b"" for a closed connection, None when nothing has arrived."""
-        if self.closed():
-            return b""
-        try:
-            return self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
-
-
 class _Connection:
     """An open connection to a target."""
 
