Take all changes that an unbroken watch sees

Cause: a watch moves past the version of the targets in force while nothing changes (other kinds raise the store's revision). Ruled out: entries that cannot be read (none were logged), cold targets (they warm up in 3 s). Change: Registry.adopt_changes takes the changes of this node's own watch whatever they begin at; targets held back after an outage stay unsettled until the list is read again.

--- a/packages/core/orioleloft_core/registry.py
+++ b/packages/core/orioleloft_core/registry.py
@@ -97,6 +97,23 @@
             self._by_service.setdefault(target.service, []).append(target)
         return True
 
+    def adopt_changes(
+        self, revision: int, changed: Iterable[RegisteredTarget], removed: Iterable[str]
+    ) -> bool:
+        """Takes over all changes up to a revision that an unbroken watch of this node has seen.
+
+        The watch may have moved past the version in force without changes, so the changes need
+        not begin at that version.
+        """
+        if revision <= self._list.version.revision:
+            return False
+        targets = dict(self._by_id)
+        targets.update((target.id, target) for target in changed)
+        for target_id in removed:
+            targets.pop(target_id, None)
+        version = ContentVersion(revision, self._list.version.is_settled)
+        return self.adopt_targets(TargetList(version, tuple(targets.values())))
+
     def adopt_closed_zones(self, new: ClosedZones) -> bool:
         """Takes over the zones that are out if their version is newer."""
         if new.version <= self._closed.version:
@@ -120,21 +137,6 @@
         ]
 
 
-def apply_changes(
-    old: TargetList,
-    revision: int,
-    changed: Iterable[RegisteredTarget],
-    removed: Iterable[str],
-) -> TargetList:
-    """Returns a list after changes that reach from its revision to a later one."""
-    targets = {target.id: target for target in old.targets}
-    for target in changed:
-        targets[target.id] = target
-    for target_id in removed:
-        targets.pop(target_id, None)
-    return TargetList(ContentVersion(revision, 1), tuple(targets.values()))
-
-
 def hold_removals(old: TargetList, new: TargetList) -> TargetList:
     """Returns a new list that still holds the targets which only the old one has.
 
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -26,7 +26,6 @@
     ClosedZones,
     Registry,
     TargetList,
-    apply_changes,
     hold_removals,
 )
 from orioleloft_core.routes import CallerLimits, RouteTable, ShareChooser
@@ -281,14 +280,11 @@
             self._log_targets(source)
             self._publish()
 
-    def on_target_changes(self, since: int, changes: TargetChanges) -> None:
-        """Takes changes since a revision."""
-        current = self._registry.target_list
-        if since > current.version.revision:
-            return
-        self.on_targets(
-            apply_changes(current, changes.revision, changes.changed, changes.removed), "watch"
-        )
+    def on_target_changes(self, changes: TargetChanges) -> None:
+        """Takes changes of the targets that this node's watch has seen."""
+        if self._registry.adopt_changes(changes.revision, changes.changed, changes.removed):
+            self._log_targets("watch")
+            self._publish()
 
     def on_target_gap(self, targets: TargetList, source: str) -> None:
         """Takes a list read after an outage, in which living targets may be missing."""
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -99,8 +99,8 @@
     def on_targets(self, targets: TargetList, source: str) -> None:
         """Takes a list of targets that is complete."""
 
-    def on_target_changes(self, since: int, changes: TargetChanges) -> None:
-        """Takes changes since a revision."""
+    def on_target_changes(self, changes: TargetChanges) -> None:
+        """Takes changes that follow what was taken before."""
 
     def on_target_gap(self, targets: TargetList, source: str) -> None:
         """Takes a list read after an outage, in which living targets may be missing."""
@@ -174,6 +174,8 @@
             started = self._clock()
             try:
                 await part.step()
+            except asyncio.CancelledError:
+                raise
             except HistoryGoneError as error:
                 log_event(_log, "history gone", part=part.name, reason=str(error))
                 part.restart()
@@ -182,6 +184,12 @@
                 self._failed(started, part.name, error)
                 await asyncio.sleep(backoff.next_delay())
                 continue
+            except Exception:
+                # A defect in one part must not end the watch for the whole fleet.
+                _log.exception("reading of the store failed")
+                part.restart()
+                await asyncio.sleep(backoff.next_delay())
+                continue
             backoff.reset()
             self._answered()
 
@@ -275,15 +283,14 @@
         if not self._revision:
             await self._read()
             return
-        since = self._revision
         wait = WATCH_S
         if self._settled_at is not None:
             wait = max(0.1, min(wait, self._settled_at - self._sync.now()))
-        changes = await self._store.watch_targets(since, wait)
+        changes = await self._store.watch_targets(self._revision, wait)
         self._revision = changes.revision
         if not changes.changed and not changes.removed:
             return
-        self._owner.on_target_changes(since, changes)
+        self._owner.on_target_changes(changes)
         await asyncio.sleep(GROUP_S)
 
     async def _read(self) -> None:
