Let requests wait on the node for a free and fast slot

From the logs: work takes 1.7 times as long if it starts with 4 or more of 6 slots in use, and the load figures of an answer still count its own request. Ruled out: lost capacity (the targets were back at 12 s), retries (1466 of 11039 arrivals). Change: a request is sent only to a target that can start it at once below the crowded range and answer in time; otherwise it waits in a line by priority, is handed the slot that an answer of this node has just freed, and is refused at once if its turn would come too late. Two candidates are asked first and three more only if neither is sound; probes have a budget. Also: no second read on a connection that the first answer closed.

--- a/packages/core/orioleloft_core/entrysettings.py
+++ b/packages/core/orioleloft_core/entrysettings.py
@@ -25,6 +25,7 @@
         cold_multiplier: factor on the rate that a cold target tolerates.
         cold_slack: requests a second allowed on top of it.
         max_address_lifetime: longest time for which callers keep entry addresses.
+        probes_per_target: probes a second and target allowed to the fleet on average over a day.
         config_deadline: time within which a new configuration is in force.
     """
 
@@ -35,6 +36,7 @@
     cold_multiplier: float = 1.5
     cold_slack: float = 5.0
     max_address_lifetime: float = 5.0
+    probes_per_target: float = 60.0
     config_deadline: float = 2.0
 
 
--- a/packages/core/orioleloft_core/evidence.py
+++ b/packages/core/orioleloft_core/evidence.py
@@ -45,7 +45,7 @@
 
     def __init__(self) -> None:
         self.in_flight = 0
-        self.connecting_failed_at = -math.inf
+        self.open_probes = 0
         self._load: LoadFigures | None = None
         self._load_at = -math.inf
         self._failures = 0.0
@@ -58,6 +58,11 @@
         """The last load figures, however old."""
         return self._load
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the last load figures left no slot free."""
+        return self._load is not None and self._load.running >= self._load.slots
+
     def load_age(self, now: float) -> float:
         """Returns the age of the load figures in seconds."""
         return now - self._load_at
--- a/packages/core/orioleloft_core/selection.py
+++ b/packages/core/orioleloft_core/selection.py
@@ -14,7 +14,10 @@
 # Candidates that are asked before a dispatch. Trials on the users' bench: 3 gave 0.91 of the
 # benefit of a quiet day, 5 gave 0.97.
 CANDIDATES = 5
-# Of these, the number that should be of the node's own zone; answers from other zones cost bytes.
+# Of these, the number that is asked first; the others follow if none of the first is sound.
+FIRST_CANDIDATES = 2
+# Of the candidates, the number that should be of the node's own zone; answers from other zones
+# cost bytes.
 LOCAL_CANDIDATES = 3
 # Above this use of its slots a target works slower by `CROWDED_FACTOR`; site sheets of the users.
 CROWDED_SHARE = 0.8
@@ -78,7 +81,8 @@
         # Random order among sound targets spreads the requests of nodes that decide at once.
         burden = self._rng.random() + failures + evidence.slowness(now) - 1.0
         burden += evidence.in_flight / target.slots
-        return failures >= SUSPECT_FAILURES, burden
+        # A target that has not answered the last probe is busy or gone.
+        return failures >= SUSPECT_FAILURES or evidence.open_probes > 0, burden
 
     def is_clearly_good(self, now: float, offer: Offer) -> bool:
         """Whether an offer is good enough to wait for no other."""
@@ -92,6 +96,19 @@
         is_roomy = running + 1 <= load.slots * CROWDED_SHARE or running == 0
         return is_roomy and load.waiting == 0 and load.pace <= 1.25
 
+    def is_open(self, offer: Offer) -> bool:
+        """Whether a target can start one more request at once without a queue.
+
+        A request that starts while nearly all slots are taken works slower. Where there are many
+        slots, filling the last ones therefore lowers the throughput.
+        """
+        evidence = self._evidence(offer.target)
+        load = offer.load or LoadFigures(evidence.in_flight, 0, offer.target.slots)
+        slots = max(1, load.slots)
+        uncrowded = max(1, int(slots * CROWDED_SHARE))
+        bound = slots if slots / CROWDED_FACTOR > uncrowded else uncrowded
+        return load.waiting == 0 and load.running < bound
+
     def finish_time(self, now: float, offer: Offer, work: float, target_latency: float) -> float:
         """Returns the expected time to the answer in seconds, with penalties for risks.
 
--- a/packages/node/orioleloftd/connections.py
+++ b/packages/node/orioleloftd/connections.py
@@ -150,6 +150,8 @@
                     if is_early or self._must_close(answer):
                         self.close()
                     return answer
+                if self._stream.closed():
+                    break
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError, OSError) as error:
             self.close()
             raise ExchangeError(f"connection failed: {error}", was_sent=True) from error
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from orioleloft_core import fleet as fleets
+from orioleloft_core.budget import TokenBucket
 from orioleloft_core.coldstart import ColdStarts
 from orioleloft_core.entrysettings import Endpoint, EntrySettings
 from orioleloft_core.errors import Code
@@ -48,6 +49,12 @@
 # Largest number of entry nodes for which the budget of extra dispatches is shared out.
 MAX_NODES_FACTOR = 1.3
 MIN_NODES = 18
+# Share of the probes allowed to the fleet that nodes use together.
+PROBE_SHARE = 0.8
+# Targets for which the allowance of probes is reckoned; smaller fleets have about as many.
+PROBED_TARGETS = 28
+# Probes that a node may make at once.
+PROBE_BURST = 300
 # Time between two sweeps over idle connections, in seconds.
 SWEEP_PERIOD_S = 1.0
 # Time between two looks at the registered nodes, in seconds. Nodes find each other by pings; the
@@ -139,6 +146,10 @@
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window, MIN_NODES
             ),
             cold_starts=ColdStarts(self._settings.name, bounds.cold_multiplier, bounds.cold_slack),
+            probe_budget=TokenBucket(
+                bounds.probes_per_target * PROBED_TARGETS * PROBE_SHARE / MIN_NODES,
+                PROBE_BURST,
+            ),
             tell=self._tell_sign,
             tell_crash=self._tell_crash,
             count=self._metrics.count,
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 import logging
 import random
 from collections.abc import Callable
@@ -11,14 +10,16 @@
 
 from orioleloft_core import attempts, hashing
 from orioleloft_core.attempts import Attempt, AttemptEnd, Fail, Relay, TryNext
+from orioleloft_core.budget import TokenBucket
 from orioleloft_core.coldstart import ColdStarts
 from orioleloft_core.crashes import Crashes
 from orioleloft_core.errors import KINDS, Code
-from orioleloft_core.evidence import TargetEvidence
+from orioleloft_core.evidence import LoadFigures, TargetEvidence
 from orioleloft_core.fleetbudget import FleetBudget
 from orioleloft_core.registry import RegisteredTarget, Registry
 from orioleloft_core.routes import Route, RoutedService, RouteTable
-from orioleloft_core.selection import Offer, Selector
+from orioleloft_core.selection import FIRST_CANDIDATES, Offer, Selector
+from orioleloft_core.waitline import Waiter, WaitLine
 from orioleloft_core.worktime import WorkTimes
 from orioleloftd.connections import (
     CONNECT_TIMEOUT_S,
@@ -33,8 +34,16 @@
 # Time for candidates to answer before the best of those that did is chosen, in seconds. A probe
 # takes up to 6 ms at the target and a round trip between zones 2 ms.
 ASK_WAIT_S = 0.016
-# Time after which the first answer at all is taken, in seconds; beyond it no candidate is sound.
-ASK_LONG_WAIT_S = 0.6
+# Time between two rounds of probes for the first of the waiting requests, in seconds.
+POLL_S = 0.04
+# A request stops waiting when this multiple of its working time is left of its target latency: work
+# takes longer than usual on shared machines.
+WAIT_MARGIN = 1.3
+# A request that is late already still prefers targets up to this pace; spells of slow machines end
+# after 0.3 s, while a slow target keeps its slot for several times as long.
+LATE_PACE = 2.0
+# A request that is late already waits for this long, in seconds, as a slot may just get free.
+MIN_WAIT_S = 0.08
 # Time after which an unanswered probe counts as a failure of the target, in seconds.
 ASK_TIMEOUT_S = 1.0
 # A request with less time left than this is not sent any more, in seconds.
@@ -45,8 +54,8 @@
 SLOW_SIGN_FACTOR = 2.5
 # Bounds of the delay after which a refused caller may return, in seconds. The spread keeps callers
 # that were refused together from returning together.
-RETRY_AFTER_MIN_S = 0.15
-RETRY_AFTER_MAX_S = 0.9
+RETRY_AFTER_MIN_S = 0.4
+RETRY_AFTER_MAX_S = 1.3
 # Tokens of the shared budget that hedges leave for retries of failed attempts.
 HEDGE_RESERVE = 0.5
 
@@ -115,6 +124,7 @@
     attempt: Attempt
     target: RegisteredTarget
     answer: HttpAnswer | None = None
+    load: LoadFigures | None = None
 
 
 @dataclasses.dataclass(eq=False)
@@ -141,6 +151,7 @@
         zone: availability zone of this node.
         budget: budget of extra dispatches.
         cold_starts: ration of cold targets.
+        probe_budget: probes that this node may make.
         tell: tells other nodes of signs: target id, failures, slowness.
         tell_crash: tells other nodes of a crash: fingerprint, count.
         count: counts an event for the metrics.
@@ -158,6 +169,7 @@
         zone: str,
         budget: FleetBudget,
         cold_starts: ColdStarts,
+        probe_budget: TokenBucket,
         tell: Callable[[str, float, float], None],
         tell_crash: Callable[[str, int], None],
         count: Callable[..., None],
@@ -181,7 +193,8 @@
         self._crashes = Crashes()
         self._pool = ConnectionPool(clock, lambda: count("target_connections"))
         self._asks: set[asyncio.Task] = set()
-        self._probe_ids = itertools.count(1)
+        self._probe_budget = probe_budget
+        self._lines: dict[str, WaitLine] = {}
 
     @property
     def crashes(self) -> Crashes:
@@ -271,6 +284,9 @@
         request = job.request
         if job.sent >= job.route.attempts:
             return self._error(request, Code.TARGET_UNREACHABLE, "no attempts are left")
+        line = self._lines.get(job.service.name)
+        if is_hedge and line:
+            return self._error(request, Code.NO_CAPACITY, "other requests wait")
         reserve = HEDGE_RESERVE if is_hedge else 0.0
         if job.sent and self._budget.available(self._clock(), job.service.name) < 1 + reserve:
             return self._error(request, Code.NO_CAPACITY, "the budget of retries is spent")
@@ -318,6 +334,7 @@
             "attempt ended",
             request=job.request.id,
             target=result.target.id,
+            load=result.load,
             end=result.attempt.end.value,
             status=result.attempt.status,
             ms=round((self._clock() - job.request.arrived_at) * 1000),
@@ -356,7 +373,89 @@
     # Choice of a target.
 
     async def _choose(self, job: _Job) -> _Chosen | None:
-        """Asks candidates and returns the best one that may receive the request."""
+        """Returns a target that can start the request now, if need be after a short wait."""
+        line = self._lines.setdefault(job.service.name, WaitLine())
+        chosen = None
+        if not line.is_blocked(job.route.priority):
+            chosen = await self._ask_candidates(job)
+        if chosen is not None:
+            return chosen
+        now = self._clock()
+        give_up_at = now + self._longest_wait(job, now)
+        handed = asyncio.get_running_loop().create_future()
+        waiter = line.join(now, job.route.priority, give_up_at, handed)
+        if waiter is None:
+            return None
+        try:
+            return await self._wait_in_line(job, line, waiter)
+        finally:
+            line.leave(waiter)
+            handed.cancel()
+
+    def _longest_wait(self, job: _Job, now: float) -> float:
+        """Returns the time for which waiting for a target still serves the caller, in seconds."""
+        work = self._work_times.expected(job.route.name, job.route.target_latency)
+        useful = job.request.arrived_at + job.route.target_latency - WAIT_MARGIN * work - now
+        return max(MIN_WAIT_S, min(useful, job.expires_at - now - work))
+
+    async def _wait_in_line(self, job: _Job, line: WaitLine, waiter: Waiter) -> _Chosen | None:
+        while True:
+            left = waiter.give_up_at - self._clock()
+            if left <= 0:
+                return await self._ask_candidates(job, takes_slow=True)
+            try:
+                async with asyncio.timeout(min(left, POLL_S)):
+                    offer, connection = await asyncio.shield(waiter.handle)
+            except TimeoutError:
+                if line.head is not waiter:
+                    continue
+                chosen = await self._ask_candidates(job)
+                if waiter.handle.done() and not waiter.handle.cancelled():
+                    offer, connection = waiter.handle.result()
+                    if chosen is not None:
+                        self._hand_over(job.service.name, offer, connection)
+                    else:
+                        chosen = self._take_handed(job, offer, connection)
+                if chosen is not None:
+                    line.on_served(self._clock())
+                    return chosen
+                continue
+            chosen = self._take_handed(job, offer, connection)
+            if chosen is not None:
+                line.on_served(self._clock())
+                return chosen
+            waiter.handle = asyncio.get_running_loop().create_future()
+
+    def _take_handed(self, job: _Job, offer: Offer, connection: Connection) -> _Chosen | None:
+        """Takes a target whose slot an earlier request of this node has just left."""
+        is_allowed = offer.target.id not in job.tried and self._registry.may_use(offer.target)
+        if not is_allowed or not connection.is_usable:
+            self._release(offer.target, connection, None)
+            return None
+        work = self._work_times.expected(job.route.name, job.route.target_latency)
+        return _Chosen(offer, connection, self._selector.service_time(self._clock(), offer, work))
+
+    def _hand_over(self, service: str, offer: Offer, connection: Connection) -> None:
+        """Gives a target with a free slot to the request that waits longest, or keeps it."""
+        line = self._lines.get(service)
+        waiter = line.head if line else None
+        is_free = self._selector.is_open(offer) and connection.is_usable
+        if waiter is None or not is_free or not self._registry.may_use(offer.target):
+            self._release(offer.target, connection, None)
+            return
+        line.leave(waiter)
+        if waiter.handle.done():
+            self._release(offer.target, connection, None)
+            return
+        waiter.handle.set_result((offer, connection))
+
+    async def _ask_candidates(self, job: _Job, takes_slow: bool = False) -> _Chosen | None:
+        """Asks candidates and returns the best one that can start the request now.
+
+        Args:
+            job: the request.
+            takes_slow: whether a target may be taken that will answer after the target latency.
+        """
         now = self._clock()
         usable = [
             target
@@ -364,68 +463,70 @@
             if target.id not in job.tried
         ]
         candidates = self._selector.candidates(now, usable)
-        if not candidates:
-            return None
-        loop = asyncio.get_running_loop()
         asked: dict[asyncio.Task, RegisteredTarget] = {}
-        for target in candidates:
-            task = loop.create_task(self._ask(target, job.service))
-            self._asks.add(task)
-            task.add_done_callback(self._asks.discard)
-            asked[task] = target
         answered: dict[Offer, Connection] = {}
         try:
-            await self._collect(job, asked, answered)
-            return self._pick(job, answered)
+            for group in (candidates[:FIRST_CANDIDATES], candidates[FIRST_CANDIDATES:]):
+                for target in group:
+                    if self._probe_budget.take(self._clock()):
+                        asked[self._start_ask(target, job.service)] = target
+                await self._collect(job, asked, answered)
+                if self._has_good(answered):
+                    break
+            return self._pick(job, answered, takes_slow)
         finally:
             for task in asked:
                 task.add_done_callback(self._give_back)
             for offer, connection in answered.items():
                 self._release(offer.target, connection, None)
 
+    def _start_ask(self, target: RegisteredTarget, service: RoutedService) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(self._ask(target, service))
+        self._asks.add(task)
+        task.add_done_callback(self._asks.discard)
+        return task
+
+    def _has_good(self, answered: dict[Offer, Connection]) -> bool:
+        now = self._clock()
+        return any(self._selector.is_clearly_good(now, offer) for offer in answered)
+
     async def _collect(
         self,
         job: _Job,
         asked: dict[asyncio.Task, RegisteredTarget],
         answered: dict[Offer, Connection],
     ) -> None:
-        """Waits for answers until one is good enough, or long enough for some answer."""
-        start = self._clock()
-        while asked:
-            elapsed = self._clock() - start
-            # The first wait ends early for the best of several answers; without any answer the
-            # candidates are all busy and the first to answer is taken.
-            limit = ASK_LONG_WAIT_S if not answered else ASK_WAIT_S
-            limit = min(limit, job.expires_at - MIN_SEND_S - start)
-            if elapsed >= limit:
+        """Waits for answers until one is good enough or the time to wait is over."""
+        end = min(self._clock() + ASK_WAIT_S, job.expires_at - MIN_SEND_S)
+        while asked and not self._has_good(answered):
+            left = end - self._clock()
+            if left <= 0:
                 return
-            done, _ = await asyncio.wait(
-                asked, timeout=limit - elapsed, return_when=asyncio.FIRST_COMPLETED
-            )
+            done, _ = await asyncio.wait(asked, timeout=left, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 del asked[task]
-                result = task.result()
-                if result is None:
-                    continue
-                offer, connection = result
-                answered[offer] = connection
-            now = self._clock()
-            if any(self._selector.is_clearly_good(now, offer) for offer in answered):
-                return
+                if task.result() is not None:
+                    offer, connection = task.result()
+                    answered[offer] = connection
 
-    def _pick(self, job: _Job, answered: dict[Offer, Connection]) -> _Chosen | None:
+    def _pick(
+        self, job: _Job, answered: dict[Offer, Connection], takes_slow: bool
+    ) -> _Chosen | None:
         """Takes the best offer out of those answered."""
         now = self._clock()
-        left = job.expires_at - now
-        if left < MIN_SEND_S:
+        if job.expires_at - now < MIN_SEND_S:
             return None
-        work = self._work_times.expected(job.route.name, job.route.target_latency)
+        latency = job.route.target_latency
+        work = self._work_times.expected(job.route.name, latency)
         allowed = [
             offer
             for offer in answered
-            if self._registry.may_use(offer.target) and self._may_take(now, job, offer)
+            if self._registry.may_use(offer.target)
+            and self._selector.is_open(offer)
+            and (takes_slow or self._is_in_time(job, offer, now, work))
+            and self._may_take(now, job, offer)
         ]
-        best = self._selector.best(now, allowed, work, job.route.target_latency)
+        best = self._selector.best(now, allowed, work, latency)
         if best is None:
             return None
         service_time = self._selector.service_time(now, best, work)
@@ -433,6 +534,12 @@
             self._cold_starts.on_sent(now, best.target.id)
         return _Chosen(best, answered.pop(best), service_time)
 
+    def _is_in_time(self, job: _Job, offer: Offer, now: float, work: float) -> bool:
+        """Whether a target would answer within the target latency, or at a usual pace if late."""
+        expected = self._selector.service_time(now, offer, work)
+        due = job.request.arrived_at + job.route.target_latency
+        return expected <= max(due - now, LATE_PACE * work)
+
     def _may_take(self, now: float, job: _Job, offer: Offer) -> bool:
         if not offer.is_cold:
             return True
@@ -447,6 +554,7 @@
         key = (target.id, target.started_ms)
         evidence = self.evidence(target)
         self._count("probes")
+        evidence.open_probes += 1
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 connection = await self._pool.acquire(key, target.host, target.port)
@@ -460,9 +568,13 @@
                     ),
                 )
         except (ExchangeError, TimeoutError) as error:
-            evidence.on_failure(self._clock())
+            # A full target answers its probes late, which is no fault.
+            if not (isinstance(error, TimeoutError) and evidence.is_full):
+                evidence.on_failure(self._clock())
             log_event(_log, "probe failed", target=target.id, reason=str(error) or "timeout")
             return None
+        finally:
+            evidence.open_probes -= 1
         facts = self._wire.answer_facts(answer.status, answer.headers)
         if facts.load is not None:
             evidence.on_load(self._clock(), facts.load)
@@ -533,9 +645,16 @@
         now = self._clock()
         facts = self._wire.answer_facts(answer.status, answer.headers)
         evidence = self.evidence(target)
-        if facts.load is not None:
-            evidence.on_load(now, facts.load)
-        self._release(target, connection, facts)
+        if facts.idle_timeout is not None:
+            connection.idle_until = now + facts.idle_timeout
+        if facts.load is not None and not chosen.offer.is_cold and answer.status < 500:
+            # The answer's figures still count the request that it answers.
+            running = max(0, facts.load.running - 1)
+            load = dataclasses.replace(facts.load, running=running)
+            evidence.on_load(now, load)
+            self._hand_over(job.service.name, Offer(target, load), connection)
+        else:
+            self._release(target, connection, facts)
         if facts.is_not_run:
             if answer.status != 503:
                 self._on_failure(target)
@@ -548,7 +667,7 @@
         else:
             evidence.on_success(now)
             self._on_duration(job, chosen, now - started)
-        return _Result(Attempt(AttemptEnd.ANSWERED, answer.status), target, answer)
+        return _Result(Attempt(AttemptEnd.ANSWERED, answer.status), target, answer, facts.load)
 
     def _on_duration(self, job: _Job, chosen: _Chosen, seconds: float) -> None:
         route, target = job.route, chosen.offer.target
