Hand a freed slot over exactly once

Change: a hand-over is taken once, an unused one goes to the next request, and a request that cannot use it goes back to its place in the line. Slow targets are not taken by hand-over.

--- a/packages/core/orioleloft_core/waitline.py
+++ b/packages/core/orioleloft_core/waitline.py
@@ -21,7 +21,8 @@
     Attributes:
         priority: rank of its route, where 0 is the most urgent.
         give_up_at: time after which it does not wait any longer, seconds on the node's clock.
-        handle: what the caller of `join` needs to wake it.
+        handle: what the caller of `join` needs to hand it a target.
+        order: place among requests of the same rank.
     """
 
     priority: int
@@ -65,9 +66,13 @@
         if ahead >= max(MIN_LENGTH, pace * (give_up_at - now)):
             return None
         waiter = Waiter(priority, give_up_at, handle, next(self._numbers))
+        self.rejoin(waiter)
+        return waiter
+
+    def rejoin(self, waiter: Waiter) -> None:
+        """Puts a request back to its place, after it was handed a target that it cannot use."""
         self._waiters.append(waiter)
         self._waiters.sort(key=lambda each: (each.priority, each.order))
-        return waiter
 
     def leave(self, waiter: Waiter) -> None:
         """Removes a request."""
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -1,6 +1,7 @@
 """Forwarding of a caller's request to targets."""
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import random
@@ -117,6 +118,31 @@
     service_time: float
 
 
+class _Handover:
+    """Place where a waiting request is given a target whose slot has become free."""
+
+    def __init__(self) -> None:
+        self._event = asyncio.Event()
+        self._given: tuple[Offer, Connection] | None = None
+
+    def give(self, offer: Offer, connection: Connection) -> None:
+        """Gives a target; the request has left the line, so it is given one at a time."""
+        self._given = (offer, connection)
+        self._event.set()
+
+    def take(self) -> tuple[Offer, Connection] | None:
+        """Returns what was given, once."""
+        given, self._given = self._given, None
+        self._event.clear()
+        return given
+
+    async def wait(self, seconds: float) -> None:
+        """Waits until a target is given, for a time at most."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._event.wait()
+
+
 @dataclasses.dataclass(frozen=True, eq=False)
 class _Result:
     """The end of one attempt."""
@@ -382,15 +408,19 @@
             return chosen
         now = self._clock()
         give_up_at = now + self._longest_wait(job, now)
-        handed = asyncio.get_running_loop().create_future()
-        waiter = line.join(now, job.route.priority, give_up_at, handed)
+        waiter = line.join(now, job.route.priority, give_up_at, _Handover())
         if waiter is None:
             return None
         try:
-            return await self._wait_in_line(job, line, waiter)
+            chosen = await self._wait_in_line(job, line, waiter)
         finally:
             line.leave(waiter)
-            handed.cancel()
+            unused = waiter.handle.take()
+            if unused is not None:
+                self._hand_over(job.service.name, *unused)
+        if chosen is not None:
+            line.on_served(self._clock())
+        return chosen
 
     def _longest_wait(self, job: _Job, now: float) -> float:
         """Returns the time for which waiting for a target still serves the caller, in seconds."""
@@ -403,37 +433,27 @@
             left = waiter.give_up_at - self._clock()
             if left <= 0:
                 return await self._ask_candidates(job, takes_slow=True)
-            try:
-                async with asyncio.timeout(min(left, POLL_S)):
-                    offer, connection = await asyncio.shield(waiter.handle)
-            except TimeoutError:
-                if line.head is not waiter:
-                    continue
+            await waiter.handle.wait(min(left, POLL_S))
+            given = waiter.handle.take()
+            chosen = None
+            if given is not None:
+                chosen = self._take_handed(job, *given)
+                if chosen is None:
+                    line.rejoin(waiter)
+            elif line.head is waiter:
                 chosen = await self._ask_candidates(job)
-                if waiter.handle.done() and not waiter.handle.cancelled():
-                    offer, connection = waiter.handle.result()
-                    if chosen is not None:
-                        self._hand_over(job.service.name, offer, connection)
-                    else:
-                        chosen = self._take_handed(job, offer, connection)
-                if chosen is not None:
-                    line.on_served(self._clock())
-                    return chosen
-                continue
-            chosen = self._take_handed(job, offer, connection)
             if chosen is not None:
-                line.on_served(self._clock())
                 return chosen
-            waiter.handle = asyncio.get_running_loop().create_future()
 
     def _take_handed(self, job: _Job, offer: Offer, connection: Connection) -> _Chosen | None:
         """Takes a target whose slot an earlier request of this node has just left."""
+        now = self._clock()
+        work = self._work_times.expected(job.route.name, job.route.target_latency)
         is_allowed = offer.target.id not in job.tried and self._registry.may_use(offer.target)
-        if not is_allowed or not connection.is_usable:
+        if not (is_allowed and connection.is_usable and self._is_in_time(job, offer, now, work)):
             self._release(offer.target, connection, None)
             return None
-        work = self._work_times.expected(job.route.name, job.route.target_latency)
-        return _Chosen(offer, connection, self._selector.service_time(self._clock(), offer, work))
+        return _Chosen(offer, connection, self._selector.service_time(now, offer, work))
 
     def _hand_over(self, service: str, offer: Offer, connection: Connection) -> None:
         """Gives a target with a free slot to the request that waits longest, or keeps it."""
@@ -444,10 +464,7 @@
             self._release(offer.target, connection, None)
             return
         line.leave(waiter)
-        if waiter.handle.done():
-            self._release(offer.target, connection, None)
-            return
-        waiter.handle.set_result((offer, connection))
+        waiter.handle.give(offer, connection)
 
     async def _ask_candidates(self, job: _Job, takes_slow: bool = False) -> _Chosen | None:
         """Asks candidates and returns the best one that can start the request now.
