See the loss of many nodes as fast as that of one

Cause: one new node was pinged in each period of 250 ms, so the loss of a zone or of the node's own link took up to 6 s to be seen (test_fleet: 5 of 15 dead, nodes still named after 2 s). Ruled out: shorter periods, which cost every calm second. Change: each missed node adds one ping to the period, and a claim of another node leaves one own ping to confirm. Tests for the new decisions of the core.

--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -18,6 +18,12 @@
 PING_TIMEOUT_S = 0.22
 # Missed pings in a row after which a node is taken as down.
 MISSES_UNTIL_DOWN = 3
+# Further nodes that are pinged in one period for each node that is missed. The loss of a zone, or of
+# this node's own link, is then seen as fast as that of one node.
+EXTRA_PINGS_PER_MISS = 1
+MAX_EXTRA_PINGS = 6
+# A node that went down this long ago still counts as missed, in seconds.
+RECENTLY_DOWN_S = 1.5
 # Time between two pings to a node that is down, in seconds.
 DOWN_PING_PERIOD_S = 1.0
 # Nodes that watch the store for all others.
@@ -171,6 +177,7 @@
     state: NodeState | None = None
     misses: int = 0
     is_down: bool = False
+    down_at: float = -1e9
     asked_at: float = -1e9
     sequence: int = 0
 
@@ -245,16 +252,25 @@
             if not is_open or member.is_down:
                 continue
             out += self._missed(now, member)
-        target = self._next_member(now)
-        if target is not None:
-            out.append(self._ping(now, target))
+        for _ in range(1 + self._extra_pings(now)):
+            target = self._next_member(now)
+            if target is not None:
+                out.append(self._ping(now, target))
         return out
 
+    def _extra_pings(self, now: float) -> int:
+        missed = sum(
+            member.misses > 0 and (not member.is_down or now - member.down_at < RECENTLY_DOWN_S)
+            for member in self._members.values()
+        )
+        return min(MAX_EXTRA_PINGS, missed * EXTRA_PINGS_PER_MISS)
+
     def _missed(self, now: float, member: _Member) -> list[Outgoing]:
         member.misses += 1
         if member.misses < MISSES_UNTIL_DOWN:
             return [self._ping(now, member)]
         member.is_down = True
+        member.down_at = now
         member.sequence = 0
         incarnation = member.state.incarnation if member.state else 0
         return self.broadcast(DownClaim(self._own, member.name, incarnation))
@@ -310,12 +326,13 @@
         if name == self._own.name:
             return self.announce()
         member = self._members.get(name)
-        if member is None or member.is_down or member.sequence > 0:
+        if member is None or member.is_down:
             return []
         if member.state is not None and member.state.incarnation > incarnation:
             return []
-        member.misses = 1
-        return [self._ping(now, member)]
+        # Another node has missed the answers already; one more own ping without answer is enough.
+        member.misses = max(member.misses, MISSES_UNTIL_DOWN - 1)
+        return [] if member.sequence > 0 else [self._ping(now, member)]
 
     def is_watcher(self) -> bool:
         """Whether this node is among those that watch the store for all.
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,29 @@
+"""Tests of requests that crash targets."""
+
+import unittest
+
+from orioleloft_core.crashes import CRASH_LIMIT, MEMORY_S, Crashes
+
+
+class CrashesTest(unittest.TestCase):
+    def test_limit_over_nodes(self):
+        """Guards against a request that takes down one target at each node."""
+        nodes = [Crashes() for _ in range(15)]
+        runs = 0
+        for node in nodes * 2:
+            if node.is_blocked(0.0, "f"):
+                continue
+            runs += 1
+            count = node.record(0.0, "f")
+            for other in nodes:
+                if other is not node:
+                    other.merge(0.0, "f", count)
+        self.assertEqual(runs, CRASH_LIMIT)
+
+    def test_forgotten_after_a_while(self):
+        """Guards against a request that stays refused after the fault was mended."""
+        crashes = Crashes()
+        for _ in range(CRASH_LIMIT):
+            crashes.record(0.0, "f")
+        self.assertTrue(crashes.is_blocked(MEMORY_S - 1, "f"))
+        self.assertFalse(crashes.is_blocked(MEMORY_S + 1, "f"))
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,167 @@
+"""Tests of the fleet: nodes that ping each other over a network that loses and delays."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from orioleloft_core import fleet as fleets
+from orioleloft_core.fleet import Fleet, Knowledge, NodeState, entry_addresses
+from orioleloft_core.registry import ContentVersion
+
+PERIOD = fleets.PING_PERIOD_S
+
+
+class Network:
+    """Fleets that exchange packed datagrams; links between two hosts may be cut."""
+
+    def __init__(self, count, zones=3, loss=0.0):
+        self.rng = random.Random(count)
+        self.loss = loss
+        self.now = 0.0
+        self.cut = set()
+        self.down = set()
+        self.fleets = {}
+        for index in range(count):
+            self.start(index, zones)
+
+    def start(self, index, zones=3, incarnation=1):
+        name = f"n{index}"
+        state = NodeState(
+            name, name, f"z{index % zones}", incarnation, True, False, True, Knowledge()
+        )
+        fleet = Fleet(state, random.Random(index))
+        for other in list(self.fleets):
+            fleet.add(other, other, f"z{int(other[1:]) % zones}")
+        self.fleets[name] = fleet
+        self.down.discard(name)
+
+    def deliver(self, sender, outgoing):
+        for item in outgoing:
+            pair = frozenset((sender, item.host))
+            if item.host not in self.fleets or item.host in self.down or pair in self.cut:
+                continue
+            if self.rng.random() < self.loss:
+                continue
+            datagram = fleets.unpack(fleets.pack(item.datagram))
+            self.deliver(item.host, self.fleets[item.host].receive(self.now, datagram))
+
+    def run(self, seconds):
+        for _ in range(round(seconds / PERIOD)):
+            self.now += PERIOD
+            for name, fleet in list(self.fleets.items()):
+                if name not in self.down:
+                    self.deliver(name, fleet.tick(self.now))
+
+    def seen(self, name):
+        return {state.name for state in self.fleets[name].alive()}
+
+
+class FleetTest(unittest.TestCase):
+    @params(3, 15, 19)
+    def test_all_find_each_other(self, count):
+        """Guards against nodes that stay unknown because they registered last."""
+        network = Network(count)
+        network.run(8)
+        for name in network.fleets:
+            self.assertEqual(network.seen(name), set(network.fleets) - {name})
+
+    @params((15, 1), (15, 5), (19, 10))
+    def test_death_is_seen_in_two_seconds(self, count, dead):
+        """Guards against callers that are sent to dead nodes: a node, a zone, half of the fleet."""
+        network = Network(count)
+        network.run(8)
+        network.down = {f"n{index}" for index in range(dead)}
+        network.run(2)
+        for name in set(network.fleets) - network.down:
+            self.assertFalse(network.seen(name) & network.down, name)
+
+    def test_loss_of_packets_takes_nobody_out_for_long(self):
+        """Guards against live nodes that callers are not told of on links that lose packets."""
+        network = Network(15, loss=0.05)
+        network.run(8)
+        missing = 0
+        for _ in range(40):
+            network.run(PERIOD)
+            missing += sum(14 - len(network.seen(name)) for name in network.fleets)
+        self.assertLess(missing / (40 * 15 * 14), 0.01)
+
+    def test_nodes_that_cannot_reach_each_other_but_a_third(self):
+        """Guards against a claim of one side that takes nodes out everywhere."""
+        network = Network(3)
+        network.run(4)
+        network.cut = {frozenset(("n0", "n1"))}
+        network.run(4)
+        self.assertEqual(network.seen("n2"), {"n0", "n1"})
+        self.assertEqual(network.seen("n0"), {"n2"})
+
+    def test_return_after_partition_and_restart(self):
+        """Guards against a node that stays out after it is back, or under its old incarnation."""
+        network = Network(6)
+        network.run(4)
+        network.down = {"n0"}
+        network.run(3)
+        network.start(0, incarnation=2)
+        network.run(4)
+        for name in list(network.fleets)[1:]:
+            self.assertIn("n0", network.seen(name))
+        stale = fleets.Announcement(
+            NodeState("n0", "n0", "z0", 1, False, False, True, Knowledge(99))
+        )
+        network.deliver("n0", [fleets.Outgoing("n1", stale)])
+        states = {state.name: state for state in network.fleets["n1"].alive()}
+        self.assertEqual(states["n0"].incarnation, 2)
+
+    def test_watchers(self):
+        """Guards against every node watching the store, and against nobody doing so."""
+        network = Network(15)
+        network.run(6)
+        watching = {n for n, fleet in network.fleets.items() if fleet.is_watcher()}
+        self.assertEqual(len(watching), fleets.WATCHERS)
+        for name in watching:
+            network.fleets[name].update(reaches_store=False)
+            network.deliver(name, network.fleets[name].announce())
+        others = {n for n, f in network.fleets.items() if f.is_watcher()} - watching
+        self.assertEqual(len(others), fleets.WATCHERS)
+
+    def test_isolated_node_watches(self):
+        """Guards against a node cut off from all others that waits for their news."""
+        network = Network(15)
+        network.run(6)
+        network.cut = {frozenset(("n3", other)) for other in network.fleets if other != "n3"}
+        network.run(6)
+        self.assertEqual(network.seen("n3"), set())
+        self.assertTrue(network.fleets["n3"].is_watcher())
+
+    @params(
+        (Knowledge(2), Knowledge(1), True),
+        (Knowledge(1, ContentVersion(5, 1)), Knowledge(2, ContentVersion(5, 0)), True),
+        (Knowledge(1, ContentVersion(5, 0)), Knowledge(1, ContentVersion(5, 1)), False),
+        (Knowledge(1), Knowledge(1), False),
+    )
+    def test_newer(self, other, own, is_newer):
+        """Guards against news that is not fetched, and against fetching what is known."""
+        self.assertEqual(fleets.is_newer(other, own), is_newer)
+
+    @params(
+        ("z0", 2, ["n0", "n3"]),
+        ("z1", 64, ["n1", "n4"]),
+        ("z2", 64, ["n2", "n0", "n1", "n3", "n4"]),
+        ("elsewhere", 3, ["n0", "n1", "n2"]),
+    )
+    def test_entry_addresses(self, zone, limit, hosts):
+        """Guards against a whole zone of callers on its last node."""
+        states = [
+            NodeState(f"n{i}", f"n{i}", f"z{i % 3}", 1, True, False, True, Knowledge())
+            for i in range(5)
+        ]
+        self.assertEqual(entry_addresses(states, states[0], zone, limit), hosts)
+
+    def test_leaving_node_is_not_named(self):
+        """Guards against callers that are sent to a node that stops."""
+        network = Network(4)
+        network.run(4)
+        network.fleets["n1"].update(is_leaving=True, is_ready=False)
+        network.deliver("n1", network.fleets["n1"].announce())
+        for name in ("n0", "n2", "n3"):
+            self.assertNotIn("n1", {s.name for s in network.fleets[name].serving()})
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,76 @@
+"""Tests of route choice and of the distribution over services."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from orioleloft_core.routes import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    RouteShare,
+    RouteTable,
+    ShareChooser,
+)
+
+LIMITS = CallerLimits(16384, 1 << 20, 3.0, 15.0)
+
+
+def make_route(name, host="a.example", prefix="/", shares=(("s", 1.0),)):
+    parts = tuple(RouteShare(service, weight) for service, weight in shares)
+    return Route(name, host, prefix, RouteKind.IDEMPOTENT, 2.0, 0.6, 2, 2, parts)
+
+
+TABLE = RouteTable(
+    7,
+    (
+        make_route("root", prefix="/"),
+        make_route("long", prefix="/a/b/"),
+        make_route("short", prefix="/a/"),
+        make_route("other", host="b.example", prefix="/x/"),
+    ),
+    (),
+    LIMITS,
+)
+
+
+class RouteTest(unittest.TestCase):
+    @params(
+        ("a.example", "/a/b/c", "long"),
+        ("a.example", "/a/b/", "long"),
+        ("a.example", "/a/b", "short"),
+        ("a.example", "/a/bc/d", "short"),
+        ("A.example:8080", "/a/x?next=/a/b/", "short"),
+        ("a.example", "/q", "root"),
+        ("b.example", "/x/1", "other"),
+        ("b.example", "/y/1", None),
+        ("c.example", "/", None),
+        ("", "*", None),
+    )
+    def test_longest_prefix(self, host, path, name):
+        """Guards against a route whose prefix is shorter, or only looks like the path's start."""
+        route = TABLE.route(host, path)
+        self.assertEqual(route.name if route else None, name)
+
+    @params(
+        ((("s", 90), ("t", 10)), 20),
+        ((("s", 1), ("t", 1), ("u", 2)), 40),
+        ((("s", 3), ("t", 7)), 10),
+    )
+    def test_shares_hold_in_short_series(self, shares, count):
+        """Guards against a split that misses its weights at nodes with few requests."""
+        route = make_route("split", shares=shares)
+        chooser = ShareChooser(random.Random(5))
+        chosen = [chooser.choose(route) for _ in range(count)]
+        total = sum(weight for _, weight in shares)
+        for service, weight in shares:
+            self.assertAlmostEqual(chosen.count(service), count * weight / total, delta=1.01)
+
+    def test_withdrawn_routes_are_forgotten(self):
+        """Guards against memory that grows with every configuration."""
+        route = make_route("split", shares=(("s", 1), ("t", 1)))
+        chooser = ShareChooser(random.Random(5))
+        chooser.choose(route)
+        chooser.keep_only(())
+        self.assertEqual(chooser._credits, {})
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,101 @@
+"""Tests of the choice of targets. Each case names the load that it answers."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from orioleloft_core.evidence import LoadFigures, TargetEvidence
+from orioleloft_core.registry import RegisteredTarget
+from orioleloft_core.selection import CANDIDATES, LOCAL_CANDIDATES, Offer, Selector
+
+WORK = 0.2
+LATENCY = 0.5
+
+
+def make_target(name, zone="za", slots=6):
+    return RegisteredTarget(name, "s", "10.0.0.1", 80, zone, slots, False, 1)
+
+
+class SelectionTest(unittest.TestCase):
+    def setUp(self):
+        self.evidence = {}
+        self.selector = Selector("za", self.find, random.Random(3))
+
+    def find(self, target):
+        return self.evidence.setdefault(target.id, TargetEvidence())
+
+    def offer(self, name, running=0, waiting=0, slots=6, pace=1.0, zone="za", is_cold=False):
+        load = LoadFigures(running, waiting, slots, pace)
+        return Offer(make_target(name, zone, slots), load, is_cold)
+
+    @params(
+        ("idle", dict(running=0), True),
+        ("below the crowded range", dict(running=3), True),
+        ("crowded: four of six slots in use", dict(running=4), False),
+        ("full", dict(running=6), False),
+        ("queue beside free slots", dict(running=2, waiting=1), False),
+        ("one of two slots in use", dict(running=1, slots=2), True),
+        ("two of two slots in use", dict(running=2, slots=2), False),
+        ("one slot", dict(running=0, slots=1), True),
+    )
+    def test_open(self, load, figures, is_open):
+        """Guards against queues at targets: a burst beside a cold zone made all answers late."""
+        self.assertEqual(self.selector.is_open(self.offer("a", **figures)), is_open, load)
+
+    @params(
+        ("spell of a slow machine", dict(pace=4.0), dict(running=2), "b"),
+        ("queue", dict(running=6, waiting=3), dict(running=3), "b"),
+        ("crowded against idle of another zone", dict(running=5), dict(zone="zb"), "b"),
+        ("equal load in another zone", dict(), dict(zone="zb"), "a"),
+        ("cold", dict(is_cold=True), dict(running=2), "b"),
+    )
+    def test_best(self, load, first, second, best):
+        """Guards against a choice by the number of requests alone."""
+        offers = [self.offer("a", **first), self.offer("b", **second)]
+        self.assertEqual(self.selector.best(0, offers, WORK, LATENCY).target.id, best, load)
+
+    def test_failing_target_with_good_probe(self):
+        """Guards against a target that fails requests while its state looks best."""
+        self.find(make_target("a")).on_failure(0)
+        offers = [self.offer("a"), self.offer("b", running=3)]
+        self.assertEqual(self.selector.best(0, offers, WORK, LATENCY).target.id, "b")
+        offers = [self.offer("a"), self.offer("b", running=4)]
+        later = self.selector.best(30, offers, WORK, LATENCY)
+        self.assertEqual(later.target.id, "a")
+
+    def test_slow_target_that_states_its_usual_pace(self):
+        """Guards against slow targets whose own figures do not show it."""
+        for _ in range(4):
+            self.find(make_target("a")).on_duration(0, 5.0)
+        offers = [self.offer("a"), self.offer("b", running=3)]
+        self.assertEqual(self.selector.best(0, offers, WORK, LATENCY).target.id, "b")
+
+    def test_candidates_of_own_zone_first(self):
+        """Guards against bytes between zones, and against asking one zone only."""
+        targets = [make_target(f"a{i}") for i in range(8)]
+        targets += [make_target(f"b{i}", "zb") for i in range(8)]
+        chosen = self.selector.candidates(0, targets)
+        self.assertEqual(len(chosen), CANDIDATES)
+        self.assertEqual(sum(t.zone == "za" for t in chosen), LOCAL_CANDIDATES)
+
+    def test_suspects_are_asked_last(self):
+        """Guards against probes wasted on dead targets while others are free."""
+        targets = [make_target(f"t{i}") for i in range(8)]
+        for target in targets[:3]:
+            self.find(target).on_failure(0)
+            self.find(target).on_failure(0)
+        self.find(targets[3]).open_probes = 1
+        chosen = {target.id for target in self.selector.candidates(0, targets, 4)}
+        self.assertTrue(chosen <= {"t4", "t5", "t6", "t7"})
+
+    @params(
+        ("idle in the own zone", dict(), True),
+        ("slow spell", dict(pace=4.0), False),
+        ("crowded", dict(running=4), False),
+        ("other zone", dict(zone="zb"), False),
+        ("cold", dict(is_cold=True), False),
+    )
+    def test_clearly_good(self, load, figures, is_good):
+        """Guards against probes of further candidates when the first is as good as any."""
+        self.assertEqual(self.selector.is_clearly_good(0, self.offer("a", **figures)), is_good)
