Replace the grants of group holders by the entry node on the platform

Cause: the platform has no configured seats, keeps what must last in its store and registers targets by itself. Ruled out: keeping both designs side by side, which would leave two copies of budgets, membership, requests and clients. The server's tests of malformed requests are kept as they were, with the platform's headers. A node counts its own requests that a target's figures cannot include yet: the new test of a burst saw four requests of one node at one slot.

--- a/packages/command/orioleloft/__init__.py
+++ b/packages/command/orioleloft/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command of orioleloft."""
+"""The operators' command."""
--- a/packages/core/orioleloft_core/budget.py
+++ b/packages/core/orioleloft_core/budget.py
@@ -1,4 +1,4 @@
-"""Budgets: token buckets by time and by requests, and back-off with jitter."""
+"""Token bucket and back-off with jitter."""
 
 import random
 
@@ -31,29 +31,6 @@
         return True
 
 
-class RetryBudget:
-    """Limits extra dispatches to a share of the requests; it starts full.
-
-    The bucket counts requests instead of time, so that retries stay a fixed share at any load.
-    """
-
-    def __init__(self, share: float, burst: float) -> None:
-        self._share = share
-        self._burst = burst
-        self._tokens = float(burst)
-
-    def earn(self) -> None:
-        """Adds the share of one request."""
-        self._tokens = min(self._burst, self._tokens + self._share)
-
-    def take(self) -> bool:
-        """Takes one extra dispatch; returns False if the budget is spent."""
-        if self._tokens < 1 - _ROUNDING:
-            return False
-        self._tokens -= 1
-        return True
-
-
 class Backoff:
     """Delays between attempts: doubled upper bounds with a cap, drawn from their upper half."""
 
--- a/packages/core/orioleloft_core/evidence.py
+++ b/packages/core/orioleloft_core/evidence.py
@@ -48,6 +48,7 @@
         self.open_probes = 0
         self._load: LoadFigures | None = None
         self._load_at = -math.inf
+        self._sent_since_load = 0
         self._failures = 0.0
         self._failures_at = 0.0
         self._slowness = 1.0
@@ -71,6 +72,15 @@
         """Takes the load figures of an answer."""
         self._load = load
         self._load_at = now
+        self._sent_since_load = 0
+
+    def on_chosen(self) -> None:
+        """Counts a request of this node that the load figures cannot include yet."""
+        self._sent_since_load += 1
+
+    def running(self, load: LoadFigures) -> int:
+        """Returns the requests at the target: those it states and newer ones of this node."""
+        return max(load.running + self._sent_since_load, self.in_flight)
 
     def on_failure(self, now: float, weight: float = 1.0) -> None:
         """Counts a failed request."""
--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -18,8 +18,8 @@
 PING_TIMEOUT_S = 0.22
 # Missed pings in a row after which a node is taken as down.
 MISSES_UNTIL_DOWN = 3
-# Further nodes that are pinged in one period for each node that is missed. The loss of a zone, or of
-# this node's own link, is then seen as fast as that of one node.
+# Further nodes that are pinged in one period for each node that is missed. The loss of a zone, or
+# of this node's own link, is then seen as fast as that of one node.
 EXTRA_PINGS_PER_MISS = 1
 MAX_EXTRA_PINGS = 6
 # A node that went down this long ago still counts as missed, in seconds.
--- a/packages/core/orioleloft_core/routes.py
+++ b/packages/core/orioleloft_core/routes.py
@@ -67,12 +67,14 @@
         health_path: path that answers with the target's state.
         max_connections: connections that a target accepts from all callers together.
         cold_per_s: requests a second that a cold target tolerates.
+        cold_start: time for which a target is cold after its start, in seconds.
     """
 
     name: str
     health_path: str
     max_connections: int
     cold_per_s: float
+    cold_start: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,6 +94,10 @@
     idle_timeout: float
 
 
+# Limits that hold until a configuration sets others.
+FIRST_LIMITS = CallerLimits(16 * 1024, 1024 * 1024, 3.0, 15.0)
+
+
 @dataclasses.dataclass(frozen=True)
 class RouteTable:
     """The whole configuration of one version."""
--- a/packages/core/orioleloft_core/selection.py
+++ b/packages/core/orioleloft_core/selection.py
@@ -92,7 +92,7 @@
         evidence = self._evidence(offer.target)
         if evidence.failures(now) > 0.3 or evidence.slowness(now) > 1.5:
             return False
-        running = max(load.running, evidence.in_flight)
+        running = evidence.running(load)
         is_roomy = running + 1 <= load.slots * CROWDED_SHARE or running == 0
         return is_roomy and load.waiting == 0 and load.pace <= 1.25
 
@@ -107,7 +107,7 @@
         slots = max(1, load.slots)
         uncrowded = max(1, int(slots * CROWDED_SHARE))
         bound = slots if slots / CROWDED_FACTOR > uncrowded else uncrowded
-        return load.waiting == 0 and load.running < bound
+        return load.waiting == 0 and evidence.running(load) < bound
 
     def finish_time(self, now: float, offer: Offer, work: float, target_latency: float) -> float:
         """Returns the expected time to the answer in seconds, with penalties for risks.
@@ -129,7 +129,7 @@
         evidence = self._evidence(offer.target)
         load = offer.load or LoadFigures(evidence.in_flight, 0, offer.target.slots)
         slots = max(1, load.slots)
-        running = max(load.running, min(evidence.in_flight, slots))
+        running = evidence.running(load)
         pace = max(load.pace, evidence.slowness(now))
         if offer.is_cold:
             pace *= 2
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -19,7 +19,6 @@
     Fleet,
     Knowledge,
     NodeState,
-    Outgoing,
     TargetSign,
 )
 from orioleloft_core.fleetbudget import FleetBudget
@@ -29,7 +28,7 @@
     TargetList,
     hold_removals,
 )
-from orioleloft_core.routes import CallerLimits, RouteTable, ShareChooser
+from orioleloft_core.routes import FIRST_LIMITS, CallerLimits, RouteTable, ShareChooser
 from orioleloft_core.stopping import Stopping
 from orioleloftd.connections import ExchangeError, HttpClient
 from orioleloftd.exposition import NodeMetrics
@@ -46,9 +45,9 @@
 )
 from orioleloftd.wire import Wire
 
-# Largest number of entry nodes for which the budget of extra dispatches is shared out.
-MAX_NODES_FACTOR = 1.3
-MIN_NODES = 18
+# Nodes among which the allowances of the fleet are shared out; fleets of today have 15 to 19. A
+# share for the nodes heard would grow in every partition.
+SHARING_NODES = 18
 # Share of the probes allowed to the fleet that nodes use together.
 PROBE_SHARE = 0.8
 # Targets for which the allowance of probes is reckoned; smaller fleets have about as many.
@@ -69,8 +68,6 @@
 FETCH_DELAY_S = 0.02
 # Share of the memory that bodies of requests may take.
 BODY_MEMORY_SHARE = 0.25
-# Until the first configuration is known, these limits hold.
-FIRST_LIMITS = CallerLimits(16 * 1024, 1024 * 1024, 3.0, 15.0)
 # At the first start of the whole fleet nodes wait for each other's news for up to this long before
 # they read the store themselves, in seconds.
 FIRST_START_SPREAD_S = 2.0
@@ -90,8 +87,6 @@
         settings: its settings.
         wire: form of the headers of callers and targets.
         store: the platform's store.
-        pages: answers calls of the platform by path: method, path and query to a document, or
-            None for a path that is not served.
         stop: called once when the node has stopped.
     """
 
@@ -143,11 +138,11 @@
             nodes=lambda: self._fleet.names,
             zone=self._settings.zone,
             budget=FleetBudget(
-                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window, MIN_NODES
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window, SHARING_NODES
             ),
             cold_starts=ColdStarts(self._settings.name, bounds.cold_multiplier, bounds.cold_slack),
             probe_budget=TokenBucket(
-                bounds.probes_per_target * PROBED_TARGETS * PROBE_SHARE / MIN_NODES,
+                bounds.probes_per_target * PROBED_TARGETS * PROBE_SHARE / SHARING_NODES,
                 PROBE_BURST,
             ),
             tell=self._tell_sign,
@@ -449,7 +444,7 @@
                 route = self._table.route(request.host, request.path)
                 if route is None:
                     text = f"no route in version {self._table.version}"
-                    reply = self._refuse(request, Code.UNKNOWN_SERVICE, text)
+                    reply = self._refuse(request, Code.UNKNOWN_ROUTE, text)
                 else:
                     route_name = route.name
                     service = self._shares.choose(route)
@@ -481,6 +476,3 @@
 def as_json(document: object) -> bytes:
     """Returns a document as JSON."""
     return json.dumps(document, separators=(",", ":")).encode()
-
-
-__all__ = ["EntryNode", "Outgoing", "as_json", "node_clock"]
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -453,7 +453,9 @@
         if not (is_allowed and connection.is_usable and self._is_in_time(job, offer, now, work)):
             self._release(offer.target, connection, None)
             return None
-        return _Chosen(offer, connection, self._selector.service_time(now, offer, work))
+        service_time = self._selector.service_time(now, offer, work)
+        self.evidence(offer.target).on_chosen()
+        return _Chosen(offer, connection, service_time)
 
     def _hand_over(self, service: str, offer: Offer, connection: Connection) -> None:
         """Gives a target with a free slot to the request that waits longest, or keeps it."""
@@ -547,6 +549,7 @@
         if best is None:
             return None
         service_time = self._selector.service_time(now, best, work)
+        self.evidence(best.target).on_chosen()
         if best.is_cold:
             self._cold_starts.on_sent(now, best.target.id)
         return _Chosen(best, answered.pop(best), service_time)
@@ -628,8 +631,6 @@
 
     async def _dispatch(self, job: _Job, chosen: _Chosen) -> _Result:
         target = chosen.offer.target
-        evidence = self.evidence(target)
-        evidence.in_flight += 1
         started = self._clock()
         try:
             return await self._exchange(job, chosen, started)
@@ -644,27 +645,30 @@
             chosen.connection.close()
             self._on_abandoned(job, chosen, self._clock() - started)
             raise
-        finally:
-            evidence.in_flight -= 1
 
     async def _exchange(self, job: _Job, chosen: _Chosen, started: float) -> _Result:
         request, target, connection = job.request, chosen.offer.target, chosen.connection
-        answer = await connection.exchange(
-            request.method,
-            request.path,
-            self._wire.target_headers(
-                request.headers, target.id, job.expires_at - started, request.body
-            ),
-            request.body,
-            lambda status, headers: self._wire.answer_facts(status, headers).request_id
-            == request.id,
+        evidence = self.evidence(target)
+        headers = self._wire.target_headers(
+            request.headers, target.id, job.expires_at - started, request.body
         )
+        evidence.in_flight += 1
+        try:
+            answer = await connection.exchange(
+                request.method,
+                request.path,
+                headers,
+                request.body,
+                lambda status, headers: self._wire.answer_facts(status, headers).request_id
+                == request.id,
+            )
+        finally:
+            evidence.in_flight -= 1
         now = self._clock()
         facts = self._wire.answer_facts(answer.status, answer.headers)
-        evidence = self.evidence(target)
         if facts.idle_timeout is not None:
             connection.idle_until = now + facts.idle_timeout
-        if facts.load is not None and not chosen.offer.is_cold and answer.status < 500:
+        if facts.load is not None and not chosen.offer.is_cold and not facts.is_not_run:
             # The answer's figures still count the request that it answers.
             running = max(0, facts.load.running - 1)
             load = dataclasses.replace(facts.load, running=running)
--- a/packages/node/orioleloftd/frontend.py
+++ b/packages/node/orioleloftd/frontend.py
@@ -11,8 +11,13 @@
 from orioleloft_core.routes import CallerLimits
 from orioleloftd.forwarding import EntryReply, EntryRequest
 from orioleloftd.logs import log_event
-from orioleloftd.streams import CallerStream, Refusal, error_body, framing_fault
-from orioleloftd.targetprotocol import connection_tokens
+from orioleloftd.streams import (
+    CallerStream,
+    Refusal,
+    connection_tokens,
+    error_body,
+    framing_fault,
+)
 from orioleloftd.wire import Wire
 
 # Callers use a connection up to the end of the idle time; the margin keeps the server from closing
@@ -105,16 +110,17 @@
         self._headers = httputil.HTTPHeaders()
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._stream.on_first_byte = self._set_timer
+        self._stream.on_first_byte = self._on_first_byte
 
-    def _set_timer(self) -> None:
+    def _on_first_byte(self) -> None:
         self._arrived_at = self._gateway.now()
-        self._timer = asyncio.get_running_loop().call_later(
-            self._gateway.limits().header_timeout, self._time_out
-        )
+        self._set_timer(self._gateway.limits().header_timeout)
+
+    def _set_timer(self, seconds: float) -> None:
+        self._timer = asyncio.get_running_loop().call_later(seconds, self._time_out)
 
     def _time_out(self) -> None:
-        text = "The header block did not arrive whole in time."
+        text = "The request did not arrive whole in time."
         self._stream.refuse(Refusal(Code.MALFORMED_REQUEST, text))
 
     def _stop_timer(self) -> None:
@@ -131,8 +137,11 @@
         refusal = framing_fault(start_line, headers, limit)
         if refusal is not None:
             self._refuse(refusal)
+        self._set_timer(self._gateway.limits().idle_timeout)
 
     def data_received(self, chunk: bytes) -> None:
+        self._stop_timer()
+        self._set_timer(self._gateway.limits().idle_timeout)
         self._size += len(chunk)
         if self._size > self._gateway.limits().max_body_bytes:
             self._refuse(Refusal(Code.REQUEST_TOO_LARGE, "The body is too large."))
@@ -141,6 +150,7 @@
         self._chunks.append(chunk)
 
     def _refuse(self, refusal: Refusal) -> None:
+        self._stop_timer()
         log_event(_log, "request refused", reason=refusal.message, code=refusal.code.value)
         self._stream.refusal = refusal
         raise httputil.HTTPInputError(refusal.message)
@@ -150,6 +160,7 @@
         self._cancel()
 
     def finish(self) -> None:
+        self._stop_timer()
         facts = self._wire.request_facts(self._headers)
         request = EntryRequest(
             id=facts.request_id,
--- a/packages/node/orioleloftd/logs.py
+++ b/packages/node/orioleloftd/logs.py
@@ -10,9 +10,9 @@
 class LineFormatter(logging.Formatter):
     """Formats a record as one JSON object."""
 
-    def __init__(self, seat: str) -> None:
+    def __init__(self) -> None:
         super().__init__()
-        self._seat = seat
+        self.node = ""
 
     def format(self, record: logging.LogRecord) -> str:
         """Returns the line."""
@@ -20,7 +20,7 @@
         line = {
             "time": moment.isoformat(timespec="milliseconds"),
             "level": record.levelname,
-            "seat": self._seat,
+            "node": self.node,
             "event": record.getMessage(),
             **getattr(record, _FIELDS, {}),
         }
@@ -34,12 +34,3 @@
 ) -> None:
     """Writes an event with named fields."""
     logger.log(_level, name, extra={_FIELDS: fields})
-
-
-def set_up(level: str, seat: str) -> None:
-    """Sends all records of at least `level` to standard error as JSON lines."""
-    handler = logging.StreamHandler()
-    handler.setFormatter(LineFormatter(seat))
-    logging.basicConfig(level=level, handlers=[handler], force=True)
-    # tornado writes a line for each malformed request of a stranger.
-    logging.getLogger("tornado.general").setLevel(logging.WARNING)
--- a/packages/node/orioleloftd/stdoutlog.py
+++ b/packages/node/orioleloftd/stdoutlog.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+from collections.abc import Callable
 
 from orioleloftd.logs import LineFormatter
 
@@ -19,7 +20,7 @@
         descriptor: file descriptor to write to.
     """
 
-    def __init__(self, clock, descriptor: int) -> None:
+    def __init__(self, clock: Callable[[], float], descriptor: int) -> None:
         super().__init__()
         self._clock = clock
         self._descriptor = descriptor
@@ -57,11 +58,19 @@
         self._rest = data[written:]
 
 
-def set_up(level: str, node: str, clock, descriptor: int = 1) -> None:
+_formatter = LineFormatter()
+
+
+def set_up(level: str, clock: Callable[[], float], descriptor: int = 1) -> None:
     """Sends all records of at least `level` to standard output as JSON lines."""
     os.set_blocking(descriptor, False)
     handler = BoundedHandler(clock, descriptor)
-    handler.setFormatter(LineFormatter(node))
+    handler.setFormatter(_formatter)
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.getLogger("tornado").setLevel(logging.WARNING)
     logging.getLogger("asyncio").setLevel(logging.WARNING)
+
+
+def set_node(name: str) -> None:
+    """Names the node in all further lines."""
+    _formatter.node = name
--- a/packages/node/orioleloftd/streams.py
+++ b/packages/node/orioleloftd/streams.py
@@ -184,3 +184,11 @@
 
 def _is_length(lengths: list[str]) -> bool:
     return all(text.isascii() and text.isdigit() and len(text) < 16 for text in lengths)
+
+
+def connection_tokens(headers: httputil.HTTPHeaders) -> frozenset[str]:
+    """Returns the options of the `Connection` header in lower case."""
+    value = headers.get("Connection")
+    if value is None:
+        return frozenset()
+    return frozenset(token.strip().lower() for token in value.split(","))
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,260 @@
+"""Tests of the adapter: settings, headers and objects of the platform."""
+
+import unittest
+
+from nose2.tools import params
+from tornado import httputil
+
+from orioleloft_adapter.decoding import DecodingError, decode_table, decode_target
+from orioleloft_adapter.encoding import encode_table
+from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_adapter.settings import parse_settings
+from orioleloft_core.entrysettings import Endpoint
+from orioleloft_core.errors import SettingsError
+from orioleloft_core.evidence import LoadFigures
+from orioleloft_core.routes import RouteKind, RouteShare
+
+SETTINGS = """node=front-1
+zone=za
+listen.front=10.0.0.1:80
+listen.ready=10.0.0.1:81
+listen.control=10.0.0.1:82
+listen.directory=10.0.0.1:83
+seeds=10.0.0.2:82,10.0.0.3:82
+bootstrap=true
+limits.memory_mb=200
+new.field=ignored
+bounds=grace_period=6s,retry_budget_ratio=0.2,retry_budget_extra=58,budget_window=10s,ttl_max=500ms
+platform.address=10.9.0.1:90
+platform.ttl_min=1000ms
+"""
+
+SPEC = {
+    "version": "r12",
+    "routes": {
+        "columns": [
+            "name",
+            "host",
+            "path_prefix",
+            "route_type",
+            "timeout",
+            "target_latency",
+            "priority",
+            "traffic_split",
+            "attempts",
+            "service",
+        ],
+        "rows": [
+            [
+                "a",
+                "H.example",
+                "/a/",
+                "idempotent",
+                "2000ms",
+                "0.6s",
+                2,
+                [{"service": "s", "weight": 9}, {"service": "t", "weight": 1}],
+                2,
+                None,
+            ],
+            ["b", "h.example", "/b/", "non_idempotent", "2.5s", "800ms", 1, None, 3, "t"],
+        ],
+    },
+    "services": {
+        "columns": [
+            "name",
+            "health_path",
+            "max_connections",
+            "protocol",
+            "tls",
+            "cold_start",
+            "cold_per_s",
+        ],
+        "rows": [
+            ["s", "/health", 220, "h1", False, "3s", 2.1],
+            ["t", "/health", 220, "h1", False, "3s", 2.1],
+        ],
+    },
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 99,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15s",
+    },
+}
+
+
+def target(**changes):
+    spec = {
+        "service": "s",
+        "address": "10.0.0.9:80",
+        "zone": "za",
+        "slots": 2,
+        "state": "ready",
+        "sequence": 4,
+        "born": 17,
+    }
+    spec.update(changes)
+    spec = {key: value for key, value in spec.items() if value != "absent"}
+    return {"metadata": {"name": "i-1", "deleting": False}, "spec": spec}
+
+
+class SettingsTest(unittest.TestCase):
+    def test_whole_file(self):
+        """Guards against units, lists and bounds that are misread."""
+        settings = parse_settings(SETTINGS)
+        self.assertEqual(settings.seeds, (Endpoint("10.0.0.2", 82), Endpoint("10.0.0.3", 82)))
+        self.assertEqual(settings.bounds.retry_extra, 58)
+        self.assertEqual(settings.bounds.max_address_lifetime, 0.5)
+        self.assertEqual(settings.memory_bytes, 200 * 1024 * 1024)
+        self.assertTrue(settings.is_first_start)
+
+    @params("node=", "zone=", "listen.front=", "platform.address=")
+    def test_missing_field(self, start):
+        """Guards against a node that starts without an address or a name."""
+        lines = [line for line in SETTINGS.splitlines() if not line.startswith(start)]
+        with self.assertRaises(SettingsError):
+            parse_settings("\n".join(lines))
+
+    @params("listen.front=10.0.0.1", "bounds=grace_period=6", "platform.ttl_min=soon")
+    def test_malformed_field(self, line):
+        """Guards against an error without a name and a remedy."""
+        name = line.partition("=")[0]
+        kept = [text for text in SETTINGS.splitlines() if not text.startswith(name + "=")]
+        with self.assertRaises(SettingsError) as raised:
+            parse_settings("\n".join([*kept, line]))
+        self.assertTrue(raised.exception.remedy)
+
+
+class DecodingTest(unittest.TestCase):
+    def test_table(self):
+        """Guards against routes whose columns are read in another order."""
+        table = decode_table(SPEC)
+        self.assertEqual(table.version, 12)
+        first, second = table.routes
+        self.assertEqual(first.shares, (RouteShare("s", 9.0), RouteShare("t", 1.0)))
+        self.assertEqual((first.host, first.target_latency), ("h.example", 0.6))
+        self.assertEqual((second.kind, second.attempts), (RouteKind.NON_IDEMPOTENT, 3))
+        self.assertEqual(table.service("s").cold_per_s, 2.1)
+
+    def test_round_trip(self):
+        """Guards against a published table that nodes read differently."""
+        table = decode_table(SPEC)
+        self.assertEqual(decode_table(encode_table(table, 7)), table)
+
+    @params(
+        None,
+        {},
+        {**SPEC, "version": 12},
+        {**SPEC, "limits": None},
+        {**SPEC, "routes": {"columns": ["name"], "rows": [["a", "b"]]}},
+        {**SPEC, "services": {"columns": ["health_path"], "rows": [["/h"]]}},
+    )
+    def test_unreadable_table(self, spec):
+        """Guards against a configuration that ends the node or replaces a good one."""
+        with self.assertRaises(DecodingError):
+            decode_table(spec)
+
+    @params((dict(), False), (dict(state="draining"), True), (dict(unknown=3), False))
+    def test_target(self, changes, is_draining):
+        """Guards against targets that are used while they leave."""
+        found = decode_target(target(**changes))
+        self.assertEqual((found.host, found.port, found.started_ms), ("10.0.0.9", 80, 17))
+        self.assertEqual(found.is_draining, is_draining)
+
+    @params(
+        dict(service=3),
+        dict(service="absent"),
+        dict(address="nowhere"),
+        dict(address="10.0.0.9:http"),
+        dict(slots="2"),
+        dict(slots=0),
+        dict(slots=True),
+        dict(state="happy"),
+        dict(zone=None),
+        dict(born="soon"),
+    )
+    def test_forged_target(self, changes):
+        """Guards against work for an entry of another writer."""
+        with self.assertRaises(DecodingError):
+            decode_target(target(**changes))
+
+    @params(None, [], "text", {"metadata": {}}, {"metadata": {"name": "x"}, "spec": [1]})
+    def test_unreadable_object(self, item):
+        """Guards against one unreadable object that hides all others."""
+        with self.assertRaises(DecodingError):
+            decode_target(item)
+
+
+class HeadersTest(unittest.TestCase):
+    def setUp(self):
+        self.wire = PlatformHeaders()
+
+    @params(("3000", 3.0), ("", None), ("soon", None), ("-5", None), ("9" * 12, None))
+    def test_patience(self, text, seconds):
+        """Guards against a made-up deadline."""
+        headers = httputil.HTTPHeaders({"X-Request-Id": "r", "X-Deadline-Ms": text})
+        self.assertEqual(self.wire.request_facts(headers).patience, seconds)
+
+    @params(
+        ("3,0,8", LoadFigures(3, 0, 8)),
+        ("3,1,8,400", LoadFigures(3, 1, 8, 4.0)),
+        ("3,1", None),
+        ("a,b,c", None),
+        ("", None),
+    )
+    def test_load(self, text, load):
+        """Guards against load figures that are made up from an unreadable header."""
+        headers = httputil.HTTPHeaders({"X-Server-Load": text})
+        self.assertEqual(self.wire.answer_facts(200, headers).load, load)
+
+    @params((503, True, True), (503, False, False), (421, False, True), (500, False, False))
+    def test_not_run(self, status, is_marked, is_not_run):
+        """Guards against a promise that the target did not make."""
+        headers = httputil.HTTPHeaders({"X-Not-Executed": "1"} if is_marked else {})
+        self.assertEqual(self.wire.answer_facts(status, headers).is_not_run, is_not_run)
+
+    def test_request_to_target(self):
+        """Guards against headers of one connection, or forged ones, that reach a target."""
+        headers = httputil.HTTPHeaders(
+            {
+                "Host": "h.example",
+                "X-Request-Id": "r",
+                "X-Deadline-Ms": "9000",
+                "Accept": "*/*",
+                "Connection": "X-Hop",
+                "X-Hop": "1",
+                "X-Target-Instance": "forged",
+                "Transfer-Encoding": "chunked",
+                "Keep-Alive": "timeout=5",
+            }
+        )
+        sent = dict(self.wire.target_headers(headers, "i-1", 1.5, b"abc").get_all())
+        self.assertEqual(
+            sent,
+            {
+                "Host": "h.example",
+                "X-Request-Id": "r",
+                "Accept": "*/*",
+                "X-Deadline-Ms": "1500",
+                "X-Target-Instance": "i-1",
+                "Content-Length": "3",
+            },
+        )
+
+    def test_answer_to_caller(self):
+        """Guards against a signature that is lost and figures of the target that leak."""
+        headers = httputil.HTTPHeaders(
+            {
+                "X-Response-Signature": "s",
+                "X-Request-Id": "r",
+                "X-Server-Load": "1,0,2",
+                "Connection": "close",
+                "Content-Length": "5",
+                "Content-Type": "text/plain",
+            }
+        )
+        self.assertEqual(
+            sorted(name for name, _ in self.wire.caller_headers(headers).get_all()),
+            ["Content-Type", "X-Request-Id", "X-Response-Signature"],
+        )
--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,128 @@
+"""Tests of exchanges on one connection: answers that are late, cut, early or of another request."""
+
+import unittest
+
+from nose2.tools import params
+from tornado import httputil
+
+from orioleloftd.connections import ConnectionPool, ExchangeError, HttpClient, connect
+from tests.support.loop import RawServer, async_test
+
+
+def answer(request_id, body=b"hi", extra=b""):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n"
+    return head % (request_id, len(body), extra) + body
+
+
+async def exchange(port, body=b""):
+    connection = await connect("127.0.0.1", port, 0.0, 1.0)
+    headers = httputil.HTTPHeaders({"Host": "a", "Content-Length": str(len(body))})
+    result = await connection.exchange(
+        "POST", "/", headers, body, lambda status, headers: headers.get("X-Id") == "me"
+    )
+    return connection, result
+
+
+class ConnectionTest(unittest.TestCase):
+    @params(
+        (answer(b"me"), b"hi", True),
+        (answer(b"old", b"late") + answer(b"me"), b"hi", True),
+        (answer(b"old") + answer(b"older") + answer(b"me"), b"hi", True),
+        (answer(b"me") + answer(b"me", b"twice"), b"hi", False),
+        (answer(b"me") + b"junk", b"hi", False),
+        (answer(b"me", extra=b"Connection: close\r\n"), b"hi", False),
+        (
+            b"HTTP/1.1 200 OK\r\nX-Id: me\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nhi\r\n0\r\n\r\n",
+            b"hi",
+            True,
+        ),
+    )
+    @async_test
+    async def test_own_answer(self, sent, body, is_usable):
+        """Guards against the answer of another request, and against reuse after doubt."""
+        server = RawServer(sent)
+        connection, result = await exchange(await server.listen())
+        self.assertEqual((result.status, result.body), (200, body))
+        self.assertEqual(connection.is_usable, is_usable)
+        connection.close()
+        server.close()
+
+    @params(
+        (None,),
+        (b"HTTP/1.1 200 OK\r\nX-Id: me\r\nContent-Length: 9\r\n\r\nhi", None),
+        (b"HTTP/1.1 200 OK\r\nX-Id: me\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhi", None),
+        (b"\x00\x01 what\r\n\r\n", None),
+        (answer(b"old") * 3, None),
+        (answer(b"old"), None),
+    )
+    @async_test
+    async def test_no_whole_answer(self, *answers):
+        """Guards against a cut answer that looks complete, and against waiting for none."""
+        server = RawServer(*answers)
+        port = await server.listen()
+        with self.assertRaises(ExchangeError) as raised:
+            connection = await connect("127.0.0.1", port, 0.0, 1.0)
+            headers = httputil.HTTPHeaders({"Host": "a"})
+            task = connection.exchange(
+                "GET", "/", headers, b"", lambda status, headers: headers.get("X-Id") == "me"
+            )
+            if len(answers) == 2:
+                # The second request makes the server close the connection.
+                connection._stream.write(b"GET / HTTP/1.1\r\n\r\n")
+            await task
+        self.assertTrue(raised.exception.was_sent)
+        self.assertFalse(connection.is_usable)
+        server.close()
+
+    @async_test
+    async def test_answer_that_ends_with_its_connection(self):
+        """Guards against answers without a length that are taken for broken ones."""
+        server = RawServer(b"HTTP/1.1 200 OK\r\nX-Id: me\r\nConnection: close\r\n\r\nwhole", None)
+        port = await server.listen()
+        connection = await connect("127.0.0.1", port, 0.0, 1.0)
+        headers = httputil.HTTPHeaders({"Host": "a"})
+        task = connection.exchange("GET", "/", headers, b"", lambda *_: True)
+        connection._stream.write(b"GET / HTTP/1.1\r\n\r\n")
+        result = await task
+        self.assertEqual(result.body, b"whole")
+        self.assertFalse(connection.is_usable)
+        server.close()
+
+    @async_test
+    async def test_refused_connection_was_not_sent(self):
+        """Guards against a doubt about a request whose connection was never established."""
+        server = RawServer()
+        port = await server.listen()
+        server.close()
+        with self.assertRaises(ExchangeError) as raised:
+            await connect("127.0.0.1", port, 0.0, 1.0)
+        self.assertFalse(raised.exception.was_sent)
+
+    @params((0.0, 1), (3.9, 1), (4.1, 2))
+    @async_test
+    async def test_idle_time(self, age, connections):
+        """Guards against a request on a connection that its target is about to close."""
+        now = [0.0]
+        server = RawServer(answer(b"me"), answer(b"me"))
+        port = await server.listen()
+        pool = ConnectionPool(lambda: now[0], lambda: None)
+        first = await pool.acquire("k", "127.0.0.1", port)
+        pool.release("k", first, 5.0)
+        now[0] = age
+        second = await pool.acquire("k", "127.0.0.1", port)
+        self.assertEqual(second is first, connections == 1)
+        first.close()
+        second.close()
+        server.close()
+
+    @async_test
+    async def test_client_does_not_send_twice(self):
+        """Guards against a write that the store takes twice after its answer was lost."""
+        server = RawServer(None)
+        port = await server.listen()
+        client = HttpClient(lambda: 0.0)
+        with self.assertRaises(ExchangeError):
+            await client.call("127.0.0.1", port, "POST", "/", body=b"x", timeout=5.0)
+        self.assertEqual(len(server.requests), 1)
+        server.close()
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,262 @@
+"""Tests of forwarding against emulated targets on loopback."""
+
+import asyncio
+import random
+import time
+import unittest
+
+from nose2.tools import params
+from tornado import httputil
+
+from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_core.budget import TokenBucket
+from orioleloft_core.coldstart import ColdStarts
+from orioleloft_core.crashes import CRASH_LIMIT
+from orioleloft_core.errors import Code
+from orioleloft_core.fleetbudget import FleetBudget
+from orioleloft_core.registry import ContentVersion, RegisteredTarget, Registry, TargetList
+from orioleloft_core.routes import (
+    FIRST_LIMITS,
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteShare,
+    RouteTable,
+)
+from orioleloft_core.waitline import WaitLine
+from orioleloftd.forwarding import EntryRequest, Forwarder
+from standins.target import Behaviour, TargetStandIn
+from tests.support.loop import async_test
+
+HOST = "127.0.0.1"
+SERVICE = RoutedService("s", "/health", 100, 2.1, 3.0)
+
+
+def make_route(kind=RouteKind.IDEMPOTENT, timeout=5.0, latency=2.0, priority=2, attempts=2):
+    shares = (RouteShare("s", 1.0),)
+    return Route("r", "a", "/", kind, timeout, latency, priority, attempts, shares)
+
+
+LOOKUP = make_route()
+HOLD = make_route(RouteKind.NON_IDEMPOTENT)
+
+
+class ForwardingTest(unittest.TestCase):
+    def start(self, *behaviours, nodes=(), name="n0"):
+        """Starts targets and a forwarder for them; called on the loop."""
+        self.targets = []
+        registered = []
+        for index, behaviour in enumerate(behaviours):
+            target = TargetStandIn(f"t{index}", behaviour)
+            port = target.listen(HOST)
+            self.targets.append(target)
+            registered.append(
+                RegisteredTarget(f"t{index}", "s", HOST, port, "za", behaviour.slots, False, 1)
+            )
+        self.registry = Registry()
+        self.registry.adopt_targets(TargetList(ContentVersion(1, 1), tuple(registered)))
+        self.table = RouteTable(1, (LOOKUP,), (SERVICE,), FIRST_LIMITS)
+        self.told = []
+        self.forwarder = Forwarder(
+            wire=PlatformHeaders(),
+            table=lambda: self.table,
+            registry=self.registry,
+            nodes=lambda: set(nodes),
+            zone="za",
+            budget=FleetBudget(0.2, 58, 10.0, 3),
+            cold_starts=ColdStarts(name, 1.5, 5.0),
+            probe_budget=TokenBucket(1000, 1000),
+            tell=lambda *sign: self.told.append(sign),
+            tell_crash=lambda *sign: self.told.append(sign),
+            count=lambda *_, **__: None,
+            clock=time.monotonic,
+            rng=random.Random(7),
+        )
+        self.numbers = iter(range(10_000))
+
+    async def send(self, route=LOOKUP, method="GET", path="/x", body=b"", patience=4.0):
+        request_id = f"r{next(self.numbers)}"
+        headers = httputil.HTTPHeaders({"Host": "a", "X-Request-Id": request_id})
+        request = EntryRequest(
+            request_id, method, "a", path, headers, body, time.monotonic(), patience
+        )
+        return await self.forwarder.forward(request, route, "s")
+
+    @property
+    def runs(self):
+        return [run for target in self.targets for run in target.runs]
+
+    @params((LOOKUP, "GET"), (HOLD, "POST"))
+    @async_test
+    async def test_each_request_runs_once(self, route, method):
+        """Guards against extra runs in calm, and against answers of other requests."""
+        self.start(*[Behaviour(stale_share=0.5)] * 3)
+        replies = [await self.send(route, method, f"/{index}") for index in range(20)]
+        self.assertEqual([reply.status for reply in replies], [200] * 20)
+        for index, reply in enumerate(replies):
+            self.assertIn(f'"/{index}"', reply.body.decode())
+        self.assertEqual(len(self.runs), 20)
+
+    @async_test
+    async def test_lost_answer_of_a_payment(self):
+        """Guards against a payment that runs twice, and a promise that it was not run."""
+        self.start(*[Behaviour(lost_share=1.0)] * 3)
+        reply = await self.send(HOLD, "POST")
+        self.assertEqual((reply.status, reply.code), (502, Code.TARGET_BROKE_OFF))
+        self.assertEqual(len(self.runs), 1)
+
+    @async_test
+    async def test_lost_answer_of_a_lookup(self):
+        """Guards against a look-up that fails although another target could answer."""
+        self.start(Behaviour(lost_share=1.0), Behaviour())
+        replies = [await self.send() for _ in range(6)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+
+    @async_test
+    async def test_failing_service_within_attempts(self):
+        """Guards against one request that is sent to more targets than the operator allows."""
+        self.start(*[Behaviour(error_share=1.0)] * 4)
+        reply = await self.send()
+        self.assertEqual(reply.status, 500)
+        self.assertIn("X-Response-Signature", reply.headers)
+        self.assertEqual(len(self.runs), LOOKUP.attempts)
+
+    @async_test
+    async def test_address_of_another_target(self):
+        """Guards against work for a target whose address has been given to another one."""
+        self.start(Behaviour(), Behaviour())
+        self.targets[0].name = "other"
+        replies = [await self.send() for _ in range(5)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertEqual(self.targets[0].runs, [])
+
+    @async_test
+    async def test_dead_target(self):
+        """Guards against requests that fail while one of two targets is down."""
+        self.start(Behaviour(), Behaviour())
+        await self.targets[0].close()
+        replies = [await self.send(HOLD, "POST") for _ in range(5)]
+        self.assertEqual({reply.status for reply in replies}, {200})
+
+    @async_test
+    async def test_draining_target(self):
+        """Guards against work for a target that says it leaves before the registry does."""
+        self.start(Behaviour(), Behaviour())
+        self.targets[0].is_draining = True
+        await asyncio.gather(*[self.send() for _ in range(4)])
+        self.assertEqual(self.targets[0].runs, [])
+
+    @async_test
+    async def test_burst_waits_on_the_node(self):
+        """Guards against queues at targets: a burst of requests at two targets of one slot."""
+        self.start(*[Behaviour(slots=1, work_s=0.03)] * 2)
+        await self.send()
+        queued = 0
+
+        async def watch():
+            nonlocal queued
+            while True:
+                queued = max(queued, *(target.waiting for target in self.targets))
+                await asyncio.sleep(0.002)
+
+        watcher = asyncio.get_running_loop().create_task(watch())
+        line = WaitLine()
+        for moment in range(100):
+            line.on_served(time.monotonic() + moment / 100)
+        self.forwarder._lines["s"] = line
+        replies = await asyncio.gather(*[self.send() for _ in range(12)])
+        watcher.cancel()
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertEqual(queued, 0)
+
+    @async_test
+    async def test_overload_is_refused_as_not_run(self):
+        """Guards against requests held for targets that stay full."""
+        self.start(Behaviour(slots=1, work_s=3.0))
+        first = asyncio.get_running_loop().create_task(self.send(HOLD, "POST"))
+        while not self.runs:
+            await asyncio.sleep(0.005)
+        route = make_route(RouteKind.NON_IDEMPOTENT, latency=0.3)
+        reply = await self.send(route, "POST")
+        self.assertEqual((reply.status, reply.code), (503, Code.NO_CAPACITY))
+        self.assertGreater(reply.retry_after, 0)
+        self.assertEqual(len(self.runs), 1)
+        first.cancel()
+
+    @async_test
+    async def test_timeout_of_the_route(self):
+        """Guards against callers that are kept waiting, and targets that work on for nobody."""
+        self.start(Behaviour(work_s=10.0))
+        reply = await self.send(make_route(RouteKind.NON_IDEMPOTENT, timeout=0.2), "POST")
+        self.assertEqual((reply.status, reply.code), (504, Code.DEADLINE_AFTER_START))
+        while self.targets[0].running:
+            await asyncio.sleep(0.005)
+
+    @async_test
+    async def test_caller_that_leaves(self):
+        """Guards against targets that work on for a caller that has left."""
+        self.start(Behaviour(work_s=10.0))
+        task = asyncio.get_running_loop().create_task(self.send())
+        while not self.runs:
+            await asyncio.sleep(0.005)
+        task.cancel()
+        while self.targets[0].running:
+            await asyncio.sleep(0.005)
+
+    @async_test
+    async def test_hedge_of_a_slow_lookup(self):
+        """Guards against a look-up that waits for a target which has become slow."""
+        self.start(Behaviour(work_s=0.02), Behaviour(work_s=0.02))
+        for _ in range(10):
+            await self.send()
+        for target in self.targets:
+            target.behaviour.work_s = 8.0
+        task = asyncio.get_running_loop().create_task(self.send())
+        while sum(target.running for target in self.targets) < 2:
+            await asyncio.sleep(0.005)
+        task.cancel()
+
+    @params(("n0", 2), ("n9", 0))
+    @async_test
+    async def test_cold_target(self, name, most):
+        """Guards against a cold target that gets work from nodes which do not own it."""
+        names = {f"n{index}" for index in range(15)}
+        owners = [n for n in sorted(names) if ColdStarts(n, 1.5, 5.0).is_owner("t0", names)]
+        node = owners[0] if most else next(n for n in sorted(names) if n not in owners)
+        self.start(Behaviour(cold_s=60.0), nodes=names, name=node)
+        route = make_route(latency=0.1)
+        await asyncio.gather(*[self.send(route) for _ in range(6)])
+        self.assertLessEqual(len(self.runs), most)
+        self.assertEqual(bool(self.runs), bool(most))
+
+    @async_test
+    async def test_request_that_crashes_targets(self):
+        """Guards against a request that takes down one target after the other."""
+        self.start(*[Behaviour()] * 4)
+        request = EntryRequest("x", "GET", "a", "/bad", httputil.HTTPHeaders(), b"", 0.0, 1.0)
+        fingerprint = self.forwarder._fingerprint(request)
+        for _ in range(CRASH_LIMIT):
+            self.forwarder.crashes.record(time.monotonic(), fingerprint)
+        reply = await self.send(path="/bad")
+        self.assertEqual((reply.status, reply.code), (502, Code.CRASH_SUSPECT))
+        self.assertEqual(self.runs, [])
+        self.assertEqual((await self.send(path="/good")).status, 200)
+
+    @async_test
+    async def test_connection_handed_over_once(self):
+        """Guards against one connection that two requests read ('Already reading').
+
+        A waiting request that cannot use a handed target must not give it back twice.
+        """
+        self.start(Behaviour(slots=1, work_s=0.02), Behaviour(slots=1, work_s=0.02))
+        self.registry.adopt_targets(
+            TargetList(ContentVersion(2, 1), self.registry.target_list.targets)
+        )
+        await self.send()
+        for _ in range(5):
+            replies = await asyncio.gather(*[self.send(HOLD, "POST") for _ in range(4)])
+            self.assertTrue({reply.status for reply in replies} <= {200, 503})
+        ids = [run.request_id for run in self.runs]
+        self.assertEqual(len(ids), len(set(ids)))
+        idle = [c for group in self.forwarder._pool._idle.values() for c in group]
+        self.assertEqual(len(idle), len({id(connection) for connection in idle}))
--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,163 @@
+"""Tests of the server for callers: bad input on raw connections, answers, callers that leave."""
+
+import asyncio
+import json
+import unittest
+
+from nose2.tools import params
+from tornado import httputil
+
+from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_core.errors import Code
+from orioleloft_core.routes import CallerLimits
+from orioleloftd.forwarding import EntryReply
+from orioleloftd.frontend import CallerConnections
+from tests.support.loop import async_test, exchange
+
+MAX_HEADER_BYTES = 2048
+MAX_BODY_BYTES = 4096
+
+
+def post(*headers, body=b"", line=b"POST / HTTP/1.1"):
+    lines = (line, b"Host: a", *headers)
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+class FrontendTest(unittest.TestCase):
+    def setUp(self):
+        self.served = []
+        self.cancelled = []
+        self.is_stopping = False
+        self.hold = None
+        self.reply = EntryReply(200, httputil.HTTPHeaders({"X-A": "1"}), b"hi")
+
+    def start(self):
+        self.server = CallerConnections(self, PlatformHeaders())
+        self.server.listen(0, "127.0.0.1")
+        return next(iter(self.server._sockets.values())).getsockname()[1]
+
+    def now(self):
+        return 100.0
+
+    def limits(self):
+        return CallerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, 0.2, 0.3)
+
+    def closes_connections(self):
+        return self.is_stopping
+
+    def may_buffer(self, size):
+        return True
+
+    async def serve(self, request):
+        self.served.append(request)
+        try:
+            if self.hold is not None:
+                await self.hold.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request)
+            raise
+        return self.reply
+
+    @params(
+        (b"garbage\r\n\r\n", Code.MALFORMED_REQUEST),
+        (b"GET  / HTTP/1.1\r\nHost: a\r\n\r\n", Code.MALFORMED_REQUEST),
+        (b"GET / HTTP/2.0\r\nHost: a\r\n\r\n", Code.MALFORMED_REQUEST),
+        (b"GET / HTTP/1.1\r\n\r\n", Code.MALFORMED_REQUEST),
+        (post(line=b"BREW / HTTP/1.1"), Code.MALFORMED_REQUEST),
+        (post(line=b"CONNECT a:80 HTTP/1.1"), Code.MALFORMED_REQUEST),
+        (post(line=b"GET http://a/ HTTP/1.1"), Code.MALFORMED_REQUEST),
+        (post(b"Host: b"), Code.MALFORMED_REQUEST),
+        (post(b"X : 1"), Code.MALFORMED_REQUEST),
+        (post(b"X: 1\0"), Code.MALFORMED_REQUEST),
+        (
+            post(b"Content-Length: 5", b"Transfer-Encoding: chunked", body=b"0\r\n\r\n"),
+            Code.MALFORMED_REQUEST,
+        ),
+        (post(b"Content-Length: 1", b"Content-Length: 1", body=b"x"), Code.MALFORMED_REQUEST),
+        (post(b"Content-Length: 1", b"Content-Length: 2", body=b"x"), Code.MALFORMED_REQUEST),
+        (post(b"Content-Length: 1, 1", body=b"x"), Code.MALFORMED_REQUEST),
+        (post(b"Content-Length: +1", body=b"x"), Code.MALFORMED_REQUEST),
+        (post(b"Content-Length: -1"), Code.MALFORMED_REQUEST),
+        (post(b"Transfer-Encoding: gzip, chunked", body=b"0\r\n\r\n"), Code.MALFORMED_REQUEST),
+        (post(b"Transfer-Encoding: chunked", body=b"x\r\n\r\n"), Code.MALFORMED_REQUEST),
+        (
+            post(b"Transfer-Encoding: chunked", body=b"0\r\n\r\n", line=b"POST / HTTP/1.0"),
+            Code.MALFORMED_REQUEST,
+        ),
+        (post(b"Content-Length: 5000", body=b"x" * 5000), Code.REQUEST_TOO_LARGE),
+        (post(b"Content-Length: 9999999"), Code.REQUEST_TOO_LARGE),
+        (
+            post(b"Transfer-Encoding: chunked", body=b"1388\r\n" + b"x" * 5000),
+            Code.REQUEST_TOO_LARGE,
+        ),
+        (post(b"X: " + b"x" * 9000), Code.REQUEST_TOO_LARGE),
+        (b"x" * 9000, Code.REQUEST_TOO_LARGE),
+        (b"GET / HTT", Code.MALFORMED_REQUEST),
+        (post(b"Content-Length: 9", body=b"slow"), Code.MALFORMED_REQUEST),
+    )
+    @async_test
+    async def test_refuses_and_closes(self, data, code):
+        """Guards against smuggled, oversized and slow requests, and a refusal without a code."""
+        head, _, body = (await exchange(self.start(), data)).partition(b"\r\n\r\n")
+        self.assertIn("Connection: close", head.decode())
+        self.assertIn(f"Orioleloft-Code: {code.value}", head.decode())
+        self.assertEqual(json.loads(body)["code"], code.value)
+        self.assertEqual(self.served, [])
+
+    @params(
+        (b"GET /p?q=1 HTTP/1.1", (), b"", b""),
+        (b"POST /p HTTP/1.1", (b"Content-Length: 3",), b"abc", b"abc"),
+        (b"PUT /p HTTP/1.1", (b"Transfer-Encoding: chunked",), b"3\r\nabc\r\n0\r\n\r\n", b"abc"),
+        (b"DELETE /p HTTP/1.1", (), b"", b""),
+    )
+    @async_test
+    async def test_reads_whole_request(self, line, headers, sent, body):
+        """Guards against bodies that are cut or passed on with their chunk marks."""
+        closing = (*headers, b"Connection: close", b"X-Request-Id: r1", b"X-Deadline-Ms: 1500")
+        answer = await exchange(self.start(), post(*closing, body=sent, line=line))
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK"))
+        self.assertTrue(answer.endswith(b"\r\n\r\nhi"))
+        request = self.served[0]
+        self.assertEqual((request.id, request.patience, request.body), ("r1", 1.5, body))
+
+    @async_test
+    async def test_kept_connection_serves_again(self):
+        """Guards against a connection that is closed although the caller keeps it."""
+        data = post(line=b"GET / HTTP/1.1") * 2 + post(b"Connection: close", line=b"GET / HTTP/1.1")
+        answer = await exchange(self.start(), data)
+        self.assertEqual(answer.count(b"HTTP/1.1 200 OK"), 3)
+
+    @async_test
+    async def test_stopping_node_closes_after_the_answer(self):
+        """Guards against callers that stay on the connection of a node that stops."""
+        self.is_stopping = True
+        answer = await exchange(self.start(), post(line=b"GET / HTTP/1.1"))
+        self.assertIn(b"Connection: close", answer)
+        self.assertTrue(answer.endswith(b"hi"))
+
+    @async_test
+    async def test_caller_that_leaves(self):
+        """Guards against targets that work on for callers that are gone."""
+        self.hold = asyncio.Event()
+        port = self.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(post(line=b"GET / HTTP/1.1"))
+        while not self.served:
+            await asyncio.sleep(0.01)
+        writer.close()
+        while not self.cancelled:
+            await asyncio.sleep(0.01)
+        self.assertEqual(self.cancelled, self.served)
+
+    @params((Code.NO_CAPACITY, 503, "0.50"), (Code.TARGET_BROKE_OFF, 502, None))
+    @async_test
+    async def test_own_answers(self, code, status, retry_after):
+        """Guards against errors without code, remedy or the time to come back."""
+        headers = PlatformHeaders().own_answer_headers("r1", 0.5 if retry_after else None)
+        self.reply = EntryReply(status, headers, b"", code, "text")
+        data = post(b"Connection: close", line=b"GET / HTTP/1.1")
+        head, _, body = (await exchange(self.start(), data)).partition(b"\r\n\r\n")
+        self.assertIn(f"HTTP/1.1 {status}", head.decode())
+        self.assertEqual(f"Retry-After: {retry_after}" in head.decode(), retry_after is not None)
+        self.assertEqual(json.loads(body)["code"], code.value)
+        self.assertTrue(json.loads(body)["remedy"])
