Prefer targets with an open connection

Ruled out: longer idle times, which the targets set. Change: a target without an idle connection ranks behind equal ones; changes of the registered targets are grouped for 0.3 s instead of 0.15 s, which saves calls at the start.

--- a/packages/core/orioleloft_core/selection.py
+++ b/packages/core/orioleloft_core/selection.py
@@ -24,6 +24,9 @@
 CROWDED_FACTOR = 1.7
 # A target in another zone must promise an answer earlier by this share of the expected time.
 REMOTE_PENALTY = 0.12
+# A target without an open connection ranks behind equal ones by this much; a new connection takes a
+# round trip and may hold a slot.
+CONNECT_BURDEN = 0.5
 # Each recent failure of a target counts as this many target latencies.
 FAILURE_PENALTY = 0.6
 # A target with this many recent failures is chosen only if no other is left.
@@ -51,6 +54,7 @@
     Args:
         zone: availability zone of the node.
         evidence: returns the evidence about a target.
+        is_connected: whether an open connection to a target is idle.
         rng: source of the random order among equals.
     """
 
@@ -58,10 +62,12 @@
         self,
         zone: str,
         evidence: Callable[[RegisteredTarget], TargetEvidence],
+        is_connected: Callable[[RegisteredTarget], bool],
         rng: random.Random,
     ) -> None:
         self._zone = zone
         self._evidence = evidence
+        self._is_connected = is_connected
         self._rng = rng
 
     def candidates(
@@ -81,6 +87,8 @@
         # Random order among sound targets spreads the requests of nodes that decide at once.
         burden = self._rng.random() + failures + evidence.slowness(now) - 1.0
         burden += evidence.in_flight / target.slots
+        if not self._is_connected(target):
+            burden += CONNECT_BURDEN
         # A target that has not answered the last probe is busy or gone.
         return failures >= SUSPECT_FAILURES or evidence.open_probes > 0, burden
 
--- a/packages/node/orioleloftd/connections.py
+++ b/packages/node/orioleloftd/connections.py
@@ -212,6 +212,11 @@
         """Number of idle connections."""
         return sum(len(idle) for idle in self._idle.values())
 
+    def has_idle(self, key: object) -> bool:
+        """Whether a connection that may still be used is idle."""
+        now = self._clock()
+        return any(connection.idle_until > now for connection in self._idle.get(key, ()))
+
     def take(self, key: object) -> Connection | None:
         """Returns the idle connection that was used last, or None."""
         idle = self._idle.get(key, [])
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -214,7 +214,7 @@
         self._clock = clock
         self._rng = rng
         self._evidence: dict[tuple[str, int], TargetEvidence] = {}
-        self._selector = Selector(zone, self.evidence, rng)
+        self._selector = Selector(zone, self.evidence, self._is_connected, rng)
         self._work_times = WorkTimes()
         self._crashes = Crashes()
         self._pool = ConnectionPool(clock, lambda: count("target_connections"))
@@ -235,6 +235,9 @@
             found = self._evidence[key] = TargetEvidence()
         return found
 
+    def _is_connected(self, target: RegisteredTarget) -> bool:
+        return self._pool.has_idle((target.id, target.started_ms))
+
     def evidence_by_id(self, target_id: str) -> TargetEvidence | None:
         """Returns the evidence about a registered target, or None if it is unknown."""
         target = self._registry.get(target_id)
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -17,7 +17,7 @@
 WATCH_S = 4.0
 # Pause between a change and the next watch, in seconds: changes come in groups, and each call is
 # paid for.
-GROUP_S = 0.15
+GROUP_S = 0.3
 # Time for an answer beyond the time that a watch may wait, in seconds.
 ANSWER_S = 0.8
 # Time after the return of the store within which lapsed registrations are back, in seconds; stated
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -20,7 +20,10 @@
 class SelectionTest(unittest.TestCase):
     def setUp(self):
         self.evidence = {}
-        self.selector = Selector("za", self.find, random.Random(3))
+        self.connected = set()
+        self.selector = Selector(
+            "za", self.find, lambda target: target.id in self.connected, random.Random(3)
+        )
 
     def find(self, target):
         return self.evidence.setdefault(target.id, TargetEvidence())
@@ -79,6 +82,14 @@
         self.assertEqual(len(chosen), CANDIDATES)
         self.assertEqual(sum(t.zone == "za" for t in chosen), LOCAL_CANDIDATES)
 
+    def test_open_connections_are_preferred_but_not_alone(self):
+        """Guards against a new connection for each probe, and against targets never asked."""
+        targets = [make_target(f"t{i}") for i in range(8)]
+        self.connected = {"t0", "t1", "t2"}
+        asked = [t.id for _ in range(200) for t in self.selector.candidates(0, targets, 3)]
+        self.assertGreater(sum(name in self.connected for name in asked), 300)
+        self.assertEqual(len(set(asked)), 8)
+
     def test_suspects_are_asked_last(self):
         """Guards against probes wasted on dead targets while others are free."""
         targets = [make_target(f"t{i}") for i in range(8)]
