--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -189,10 +189,16 @@
     async def _join(self) -> None:
         """Finds the other nodes and the shared state."""
         asks = [self._ask_seed(seed) for seed in self._settings.seeds]
-        await asyncio.gather(*asks)
-        if self._settings.is_first_start and not self.is_ready:
-            await asyncio.sleep(self._rng.random() * FIRST_START_SPREAD_S)
-            self._fetch_newer()
+        if self._settings.is_first_start:
+            # All nodes start at once; most of them can learn the state from the first few.
+            await asyncio.gather(*asks)
+            if not self.is_ready:
+                await asyncio.sleep(self._rng.random() * FIRST_START_SPREAD_S)
+                self._fetch_newer()
+        else:
+            # Seeds that are down would hold the node up; the store is read beside them.
+            for ask in asks:
+                self._spawn(ask)
         self._may_read_store = True
         self._sync.start()
         registration = NodeRegistration(
