--- a/packages/core/orioleloft_core/selection.py
+++ b/packages/core/orioleloft_core/selection.py
@@ -24,6 +24,9 @@
 CROWDED_FACTOR = 1.7
 # A target in another zone must promise an answer earlier by this share of the expected time.
 REMOTE_PENALTY = 0.12
+# A target without an open connection ranks behind equal ones by this much; a new connection takes a
+# round trip and may hold a slot.
+CONNECT_BURDEN = 0.5
 # Each recent failure of a target counts as this many target latencies.
 FAILURE_PENALTY = 0.6
 # A target with this many recent failures is chosen only if no other is left.
@@ -51,6 +54,7 @@
     Args:
         zone: availability zone of the node.
         evidence: returns the evidence about a target.
+        is_connected: whether an open connection to a target is idle.
         rng: source of the random order among equals.
     """
 
@@ -58,10 +62,12 @@
         self,
         zone: str,
         evidence: Callable[[RegisteredTarget], TargetEvidence],
+        is_connected: Callable[[RegisteredTarget], bool],
         rng: random.Random,
     ) -> None:
         self._zone = zone
         self._evidence = evidence
+        self._is_connected = is_connected
         self._rng = rng
 
     def candidates(
@@ -81,6 +87,8 @@
         # Random order among sound targets spreads the requests of nodes that decide at once.
         burden = self._rng.random() + failures + evidence.slowness(now) - 1.0
         burden += evidence.in_flight / target.slots
+        if not self._is_connected(target):
+            burden += CONNECT_BURDEN
         # A target that has not answered the last probe is busy or gone.
         return failures >= SUSPECT_FAILURES or evidence.open_probes > 0, burden
 
@@ -92,7 +100,7 @@
         evidence = self._evidence(offer.target)
         if evidence.failures(now) > 0.3 or evidence.slowness(now) > 1.5:
             return False
-        running = max(load.running, evidence.in_flight)
+        running = evidence.running(load)
         is_roomy = running + 1 <= load.slots * CROWDED_SHARE or running == 0
         return is_roomy and load.waiting == 0 and load.pace <= 1.25
 
@@ -107,7 +115,7 @@
         slots = max(1, load.slots)
         uncrowded = max(1, int(slots * CROWDED_SHARE))
         bound = slots if slots / CROWDED_FACTOR > uncrowded else uncrowded
-        return load.waiting == 0 and load.running < bound
+        return load.waiting == 0 and evidence.running(load) < bound
 
     def finish_time(self, now: float, offer: Offer, work: float, target_latency: float) -> float:
         """Returns the expected time to the answer in seconds, with penalties for risks.
@@ -129,7 +137,7 @@
         evidence = self._evidence(offer.target)
         load = offer.load or LoadFigures(evidence.in_flight, 0, offer.target.slots)
         slots = max(1, load.slots)
-        running = max(load.running, min(evidence.in_flight, slots))
+        running = evidence.running(load)
         pace = max(load.pace, evidence.slowness(now))
         if offer.is_cold:
             pace *= 2
