Share allowances out among the nodes that are registered

Cause: the budget of extra dispatches and that of probes were shared among a fixed 18 nodes; 142 nodes would together pass the operators' bounds. Ruled out: the nodes heard, whose number falls in a partition. Change: the share follows the registered nodes with a margin of a fifth, 18 at least; a share of hardly one dispatch is refilled slowly. A test with 142 nodes and an extra of 218 failed before (142 to 234 dispatches with no request) and passes now.

--- a/packages/core/orioleloft_core/budget.py
+++ b/packages/core/orioleloft_core/budget.py
@@ -1,15 +1,21 @@
 """Token bucket and back-off with jitter."""
 
 import random
+from collections.abc import Callable
 
 # Sums of shares such as 0.1 miss whole numbers by rounding.
 _ROUNDING = 1e-9
 
 
 class TokenBucket:
-    """Limits the rate of calls over time; it starts full."""
+    """Limits the rate of calls over time; it starts full.
 
-    def __init__(self, rate_per_second: float, burst: float) -> None:
+    Args:
+        rate_per_second: returns the tokens gained in a second.
+        burst: most tokens that it holds.
+    """
+
+    def __init__(self, rate_per_second: Callable[[], float], burst: float) -> None:
         self._rate_per_second = rate_per_second
         self._burst = burst
         self._tokens = float(burst)
@@ -22,7 +28,7 @@
             now: seconds on the node's clock.
         """
         if self._filled_at is not None:
-            gained = max(0.0, now - self._filled_at) * self._rate_per_second
+            gained = max(0.0, now - self._filled_at) * self._rate_per_second()
             self._tokens = min(self._burst, self._tokens + gained)
         self._filled_at = now if self._filled_at is None else max(now, self._filled_at)
         if self._tokens < 1 - _ROUNDING:
--- a/packages/core/orioleloft_core/fleetbudget.py
+++ b/packages/core/orioleloft_core/fleetbudget.py
@@ -5,9 +5,14 @@
 that may exist, so that the sum holds in every partition.
 """
 
+from collections.abc import Callable
+
 # Part of the allowance that is used; the rest covers requests that callers count in another window.
 USED_SHARE = 0.85
 
+# Part of a node's share that comes over one window where the share is hardly one dispatch.
+MIN_REFILL = 0.1
+
 
 class _Account:
     def __init__(self, tokens: float) -> None:
@@ -22,24 +27,30 @@
         ratio: extra dispatches allowed for each request.
         extra: extra dispatches allowed for the fleet in each window.
         window: length of the window in seconds.
-        nodes: largest number of nodes that may run at a time.
+        nodes: returns the largest number of nodes that may run now.
     """
 
-    def __init__(self, ratio: float, extra: float, window: float, nodes: int) -> None:
-        share = USED_SHARE * extra / max(1, nodes)
+    def __init__(self, ratio: float, extra: float, window: float, nodes: Callable[[], int]) -> None:
         self._ratio = ratio * USED_SHARE
-        # Half of the share may be spent at once and the other half over one window, so that any
-        # span of one window stays within the share.
-        self._burst = share / 2
-        self._rate = share / 2 / window
-        self._refill_cap = max(1.0, self._burst)
-        self._cap = self._refill_cap + 1.0
+        self._extra = extra * USED_SHARE
+        self._window = window
+        self._nodes = nodes
         self._accounts: dict[str, _Account] = {}
 
+    def _share(self) -> float:
+        """Returns the extra dispatches of this node in one window."""
+        return self._extra / max(1, self._nodes())
+
+    @staticmethod
+    def _burst(share: float) -> float:
+        """Returns the part of a share that may be spent at once; a dispatch needs a whole one."""
+        return max(1.0, share / 2)
+
     def earn(self, now: float, service: str) -> None:
         """Adds the share of one request that this node has sent for the first time."""
         account = self._account(now, service)
-        account.tokens = min(self._cap, account.tokens + self._ratio)
+        cap = self._burst(self._share()) + 1.0
+        account.tokens = max(account.tokens, min(cap, account.tokens + self._ratio))
 
     def available(self, now: float, service: str) -> float:
         """Returns the extra dispatches that may be made now."""
@@ -60,11 +71,15 @@
         return True
 
     def _account(self, now: float, service: str) -> _Account:
+        share = self._share()
+        burst = self._burst(share)
         account = self._accounts.get(service)
         if account is None:
-            account = self._accounts[service] = _Account(self._burst)
+            account = self._accounts[service] = _Account(min(burst, share / 2))
         if account.filled_at is not None:
-            gained = max(0.0, now - account.filled_at) * self._rate
-            account.tokens = max(account.tokens, min(self._refill_cap, account.tokens + gained))
+            # What may be spent at once and what comes over one window stay within the share.
+            rate = max(share - burst, share * MIN_REFILL) / self._window
+            gained = max(0.0, now - account.filled_at) * rate
+            account.tokens = max(account.tokens, min(burst, account.tokens + gained))
         account.filled_at = now
         return account
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import math
 import random
 import time
 from collections.abc import Callable
@@ -45,13 +46,13 @@
 )
 from orioleloftd.wire import Wire
 
-# Nodes among which the allowances of the fleet are shared out; fleets of today have 15 to 19. A
-# share for the nodes heard would grow in every partition.
-SHARING_NODES = 18
+# Allowances of the fleet are shared out among the nodes registered, heard or not: a share for the
+# nodes heard would grow in every partition. The factor covers nodes that are added, the minimum a
+# node that has just started and knows no other; fleets of today have 15 to 19.
+SPARE_FACTOR = 1.2
+MIN_SHARING_NODES = 18
 # Share of the probes allowed to the fleet that nodes use together.
 PROBE_SHARE = 0.8
-# Targets for which the allowance of probes is reckoned; smaller fleets have about as many.
-PROBED_TARGETS = 28
 # Probes that a node may make at once.
 PROBE_BURST = 300
 # Time between two sweeps over idle connections, in seconds.
@@ -138,13 +139,10 @@
             nodes=lambda: self._fleet.names,
             zone=self._settings.zone,
             budget=FleetBudget(
-                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window, SHARING_NODES
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window, self._sharing_nodes
             ),
             cold_starts=ColdStarts(self._settings.name, bounds.cold_multiplier, bounds.cold_slack),
-            probe_budget=TokenBucket(
-                bounds.probes_per_target * PROBED_TARGETS * PROBE_SHARE / SHARING_NODES,
-                PROBE_BURST,
-            ),
+            probe_budget=TokenBucket(self._probe_rate, PROBE_BURST),
             tell=self._tell_sign,
             tell_crash=self._tell_crash,
             count=self._metrics.count,
@@ -152,6 +150,17 @@
             rng=self._rng,
         )
 
+    def _sharing_nodes(self) -> int:
+        """Returns the number of nodes among which allowances of the fleet are shared out."""
+        known = len(self._fleet.names) + 1
+        return max(MIN_SHARING_NODES, math.ceil(known * SPARE_FACTOR))
+
+    def _probe_rate(self) -> float:
+        """Returns the probes a second that this node may make."""
+        targets = len(self._registry.target_list.targets)
+        allowed = self._settings.bounds.probes_per_target * targets
+        return allowed * PROBE_SHARE / self._sharing_nodes()
+
     # Start and stop.
 
     async def start(self) -> None:
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -12,14 +12,14 @@
     @params((0.0, 10), (1.0, 12), (4.0, 18), (1000.0, 20))
     def test_rate_and_burst(self, idle, taken):
         """Guards against more calls than the burst and the rate allow."""
-        bucket = TokenBucket(2, 10)
+        bucket = TokenBucket(lambda: 2, 10)
         count = sum(bucket.take(0.0) for _ in range(50))
         count += sum(bucket.take(idle) for _ in range(50))
         self.assertEqual(count, taken)
 
     def test_clock_that_steps_back(self):
         """Guards against tokens gained twice for the same time."""
-        bucket = TokenBucket(1, 1)
+        bucket = TokenBucket(lambda: 1, 1)
         self.assertEqual([bucket.take(now) for now in (5, 0, 5, 6, 6)], [1, 0, 0, 1, 0])
 
     def test_backoff_bounds(self):
--- a/tests/test_fleetbudget.py
+++ b/tests/test_fleetbudget.py
@@ -11,7 +11,9 @@
 
 def spend(nodes, requests_per_s, seconds, extra=58, ratio=0.2, window=10.0):
     """Lets every node of a fleet spend all it can; returns moments of requests and extras."""
-    budgets = [FleetBudget(ratio, extra, window, 18) for _ in range(nodes)]
+    budgets = [
+        FleetBudget(ratio, extra, window, lambda: max(18, round(nodes * 1.2))) for _ in range(nodes)
+    ]
     requests, extras = [], []
     steps = int(seconds * 20)
     owed = 0.0
@@ -29,17 +31,26 @@
 
 
 class FleetBudgetTest(unittest.TestCase):
-    @params((18, 0.0), (18, 5.0), (18, 40.0), (15, 200.0), (1, 20.0))
-    def test_sum_over_the_fleet(self, nodes, requests_per_s):
+    @params(
+        (18, 0.0, 58),
+        (18, 5.0, 58),
+        (18, 40.0, 58),
+        (15, 200.0, 58),
+        (1, 20.0, 58),
+        (94, 30.0, 156),
+        (142, 0.0, 218),
+        (142, 30.0, 218),
+    )
+    def test_sum_over_the_fleet(self, nodes, requests_per_s, extra):
         """Guards against nodes that each stay within a budget which only the fleet has."""
-        requests, extras = spend(nodes, requests_per_s, 30)
+        requests, extras = spend(nodes, requests_per_s, 30, extra)
         for start in extras:
             used = sum(start <= moment <= start + 10 for moment in extras)
             asked = max(
                 sum(begin <= moment <= begin + 10 for moment in requests)
                 for begin in (start, start - 10, start - 5)
             )
-            self.assertLessEqual(used, 0.2 * asked + 58)
+            self.assertLessEqual(used, 0.2 * asked + extra)
 
     @settings(max_examples=30, deadline=None)
     @given(st.integers(1, 18), st.floats(0, 60))
@@ -50,7 +61,7 @@
 
     def test_reserve_is_left_for_retries(self):
         """Guards against hedges that use up what failed requests need."""
-        budget = FleetBudget(0.2, 58, 10.0, 18)
+        budget = FleetBudget(0.2, 58, 10.0, lambda: 18)
         for _ in range(50):
             budget.earn(0.0, "s")
         hedges = 0
