--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -164,6 +164,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     sent: int = 0
     fallback: EntryReply | None = None
+    asked: int = 0
+    offers: tuple[Offer, ...] = ()
 
 
 class Forwarder:
@@ -413,6 +415,7 @@
         give_up_at = now + self._longest_wait(job, now)
         waiter = line.join(now, job.route.priority, give_up_at, _Handover())
         if waiter is None:
+            self._log_no_target(job, line, now, "the line is too long")
             return None
         try:
             chosen = await self._wait_in_line(job, line, waiter)
@@ -421,10 +424,27 @@
             unused = waiter.handle.take()
             if unused is not None:
                 self._hand_over(job.service.name, *unused)
-        if chosen is not None:
+        if chosen is None:
+            self._log_no_target(job, line, now, "no target became free in time")
+        else:
             line.on_served(self._clock())
         return chosen
 
+    def _log_no_target(self, job: _Job, line: WaitLine, since: float, reason: str) -> None:
+        log_event(
+            _log,
+            "no target",
+            request=job.request.id,
+            reason=reason,
+            waited_ms=round((self._clock() - since) * 1000),
+            line=len(line),
+            usable=len(self._registry.usable(job.service.name)),
+            asked=job.asked,
+            offers={offer.target.id: offer.load for offer in job.offers},
+            cold=[offer.target.id for offer in job.offers if offer.is_cold],
+            targets=self._registry.target_list.version.revision,
+        )
+
     def _longest_wait(self, job: _Job, now: float) -> float:
         """Returns the time for which waiting for a target still serves the caller, in seconds."""
         work = self._work_times.expected(job.route.name, job.route.target_latency)
@@ -495,6 +515,8 @@
                 await self._collect(job, asked, answered)
                 if self._has_good(answered):
                     break
+            job.asked = len(asked) + len(answered)
+            job.offers = tuple(answered)
             return self._pick(job, answered, takes_slow)
         finally:
             for task in asked:
