--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -507,15 +507,16 @@
         candidates = self._selector.candidates(now, usable)
         asked: dict[asyncio.Task, RegisteredTarget] = {}
         answered: dict[Offer, Connection] = {}
+        job.asked = 0
         try:
             for group in (candidates[:FIRST_CANDIDATES], candidates[FIRST_CANDIDATES:]):
                 for target in group:
                     if self._probe_budget.take(self._clock()):
                         asked[self._start_ask(target, job.service)] = target
+                        job.asked += 1
                 await self._collect(job, asked, answered)
                 if self._has_good(answered):
                     break
-            job.asked = len(asked) + len(answered)
             job.offers = tuple(answered)
             return self._pick(job, answered, takes_slow)
         finally:
