--- a/tests/support/loop.py
+++ b/tests/support/loop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import functools
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 # Bounds a test that hangs; no assertion depends on it. Seconds.
@@ -40,10 +42,12 @@
     Args:
         answers: bytes for each request of a connection; None closes the connection instead, and
             an empty value sends nothing.
+        resets: whether connections are reset instead of closed.
     """
 
-    def __init__(self, *answers: bytes | None) -> None:
+    def __init__(self, *answers: bytes | None, resets: bool = False) -> None:
         self._answers = answers
+        self._resets = resets
         self.requests: list[bytes] = []
         self.connections = 0
         self._server: asyncio.Server | None = None
@@ -68,6 +72,11 @@
             # Cancelled at the end of the loop; asyncio would report it as an error.
             return
         finally:
+            if self._resets:
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
             writer.close()
 
     def close(self) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Tests of exchanges on one connection: answers that are late, cut, early or of another request."""
 
+import asyncio
 import unittest
 
 from nose2.tools import params
@@ -75,17 +76,27 @@
         self.assertFalse(connection.is_usable)
         server.close()
 
+    @params((False, True), (True, False))
     @async_test
-    async def test_answer_that_ends_with_its_connection(self):
-        """Guards against answers without a length that are taken for broken ones."""
-        server = RawServer(b"HTTP/1.1 200 OK\r\nX-Id: me\r\nConnection: close\r\n\r\nwhole", None)
-        port = await server.listen()
-        connection = await connect("127.0.0.1", port, 0.0, 1.0)
-        headers = httputil.HTTPHeaders({"Host": "a"})
-        task = connection.exchange("GET", "/", headers, b"", lambda *_: True)
+    async def test_answer_that_ends_with_its_connection(self, resets, is_whole):
+        """Guards against a reset that looks like the end of an answer without a length."""
+        head = b"HTTP/1.1 200 OK\r\nX-Id: me\r\nConnection: close\r\n\r\n"
+        server = RawServer(head + b"whole", None, resets=resets)
+        connection = await connect("127.0.0.1", await server.listen(), 0.0, 1.0)
+        task = asyncio.get_running_loop().create_task(
+            connection.exchange(
+                "GET", "/", httputil.HTTPHeaders({"Host": "a"}), b"", lambda *_: True
+            )
+        )
+        while not connection._stream.reading() or not server.requests:
+            await asyncio.sleep(0.01)
+        # The second request makes the server end the connection.
         connection._stream.write(b"GET / HTTP/1.1\r\n\r\n")
-        result = await task
-        self.assertEqual(result.body, b"whole")
+        if is_whole:
+            self.assertEqual((await task).body, b"whole")
+        else:
+            with self.assertRaises(ExchangeError):
+                await task
         self.assertFalse(connection.is_usable)
         server.close()
 
