Split forwarding, and give a ready answer before a hedge is placed

Cause: the module of forwarding had 720 lines with three jobs. Ruled out: hedges without probes, which would meet cold and full targets. Change: jobs, probing, placing and forwarding are modules of their own; the target for a hedge is looked for beside the running attempt, without the line, and an answer always goes first; an answer of another target counts as a failure. Parts of the store's state share one base class.

--- a/packages/node/orioleloftd/connections.py
+++ b/packages/node/orioleloftd/connections.py
@@ -93,14 +93,23 @@
 
     def __init__(self, stream: TargetStream, now: float) -> None:
         self._stream = stream
+        self._idle_s = DEFAULT_IDLE_S
         self.idle_until = now + DEFAULT_IDLE_S
-        self.is_new = True
 
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open and nothing has arrived on it."""
         return not self._stream.has_unread and self._stream.peek() is None
 
+    def on_idle_timeout(self, seconds: float | None) -> None:
+        """Takes the idle time that the other side states, in seconds, or None if it states none."""
+        if seconds is not None:
+            self._idle_s = seconds * IDLE_SHARE
+
+    def on_idle(self, now: float) -> None:
+        """Starts the time for which the connection may stay idle."""
+        self.idle_until = now + self._idle_s
+
     def close(self) -> None:
         """Closes the connection."""
         self._stream.close()
@@ -126,7 +135,6 @@
         Raises:
             ExchangeError: no whole answer was read. The connection is closed.
         """
-        self.is_new = False
         http = http1connection.HTTP1Connection(self._stream, True, _PARAMS)
         is_early = False
 
@@ -242,18 +250,17 @@
         self._on_open()
         return connection
 
-    def release(self, key: object, connection: Connection, idle: float | None = None) -> None:
+    def release(self, key: object, connection: Connection) -> None:
         """Takes a connection back after a whole answer.
 
         Args:
             key: key under which it was acquired.
             connection: the connection.
-            idle: idle time that the other side states, in seconds, or None.
         """
         if not connection.is_usable:
             connection.close()
             return
-        connection.idle_until = self._clock() + (idle or DEFAULT_IDLE_S / IDLE_SHARE) * IDLE_SHARE
+        connection.on_idle(self._clock())
         self._idle.setdefault(key, []).append(connection)
 
     def sweep(self, kept: Callable[[object], bool]) -> None:
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -33,8 +33,9 @@
 from orioleloft_core.stopping import Stopping
 from orioleloftd.connections import ExchangeError, HttpClient
 from orioleloftd.exposition import NodeMetrics
-from orioleloftd.forwarding import EntryReply, EntryRequest, Forwarder
+from orioleloftd.forwarding import Forwarder
 from orioleloftd.frontend import CallerConnections, Document, DocumentServer
+from orioleloftd.jobs import EntryReply, EntryRequest
 from orioleloftd.logs import log_event
 from orioleloftd.peering import STATE_PATH, DatagramPort, StateExchange
 from orioleloftd.storesync import (
@@ -361,7 +362,7 @@
                 self._fetch_newer()
 
     def _on_sign(self, now: float, sign: TargetSign) -> None:
-        evidence = self._forwarder.evidence_by_id(sign.target_id)
+        evidence = self._forwarder.access.evidence_by_id(sign.target_id)
         if evidence is not None:
             evidence.on_sign(now, sign.failures, sign.slowness)
 
--- a/packages/node/orioleloftd/frontend.py
+++ b/packages/node/orioleloftd/frontend.py
@@ -9,7 +9,7 @@
 
 from orioleloft_core.errors import KINDS, Code
 from orioleloft_core.routes import CallerLimits
-from orioleloftd.forwarding import EntryReply, EntryRequest
+from orioleloftd.jobs import EntryReply, EntryRequest
 from orioleloftd.logs import log_event
 from orioleloftd.streams import (
     CallerStream,
--- /dev/null
+++ b/packages/node/orioleloftd/jobs.py
@@ -0,0 +1,92 @@
+"""Requests of callers on their way, the targets chosen for them, and replies."""
+
+import dataclasses
+
+from tornado import httputil
+
+from orioleloft_core.errors import Code
+from orioleloft_core.routes import Route, RoutedService
+from orioleloft_core.selection import Offer
+from orioleloftd.connections import Connection
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class EntryRequest:
+    """One request of a caller, read whole.
+
+    Attributes:
+        id: id that the caller gave.
+        method: HTTP method.
+        host: value of the `Host` header.
+        path: path and query.
+        headers: all headers.
+        body: whole body.
+        arrived_at: time of arrival, in seconds on the node's clock.
+        patience: time that the caller waits, in seconds, or None.
+    """
+
+    id: str
+    method: str
+    host: str
+    path: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    arrived_at: float
+    patience: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryReply:
+    """An answer for the caller.
+
+    Attributes:
+        status: HTTP status.
+        headers: headers without those of the connection.
+        body: whole body.
+        code: error code, or None for the answer of a target.
+        message: what happened, for an error.
+        retry_after: seconds after which the caller may come back, or None.
+    """
+
+    status: int
+    headers: httputil.HTTPHeaders
+    body: bytes
+    code: Code | None = None
+    message: str = ""
+    retry_after: float | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class Job:
+    """A request on its way.
+
+    Attributes:
+        request: the request.
+        route: its route.
+        service: service that it goes to.
+        expires_at: time after which no answer is of use, seconds on the node's clock.
+        tried: targets that it was sent to.
+        sent: number of dispatches.
+        fallback: reply for the case that no further attempt can be made.
+        asked: candidates of the last round of probes.
+        offers: offers of those that answered.
+    """
+
+    request: EntryRequest
+    route: Route
+    service: RoutedService
+    expires_at: float
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sent: int = 0
+    fallback: EntryReply | None = None
+    asked: int = 0
+    offers: tuple[Offer, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class Chosen:
+    """A target that is ready to receive the request on a checked connection."""
+
+    offer: Offer
+    connection: Connection
+    service_time: float
--- /dev/null
+++ b/packages/node/orioleloftd/probing.py
@@ -0,0 +1,146 @@
+"""Access to targets: connections, evidence, and probes of their state."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from orioleloft_core.evidence import TargetEvidence
+from orioleloft_core.registry import RegisteredTarget, Registry
+from orioleloft_core.routes import RoutedService
+from orioleloft_core.selection import Offer
+from orioleloftd.connections import (
+    CONNECT_TIMEOUT_S,
+    Connection,
+    ConnectionPool,
+    ExchangeError,
+    connect,
+)
+from orioleloftd.logs import log_event
+from orioleloftd.wire import Wire
+
+# Time after which an unanswered probe counts as a failure of the target, in seconds.
+ASK_TIMEOUT_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+class TargetAccess:
+    """Connections to targets and what they have shown.
+
+    Args:
+        wire: form of the headers.
+        registry: the known targets.
+        count: counts an event for the metrics.
+        clock: seconds on the node's clock.
+    """
+
+    def __init__(
+        self,
+        wire: Wire,
+        registry: Registry,
+        count: Callable[..., None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._wire = wire
+        self._registry = registry
+        self._count = count
+        self._clock = clock
+        self._evidence: dict[tuple[str, int], TargetEvidence] = {}
+        self._pool = ConnectionPool(clock, lambda: count("target_connections"))
+
+    def evidence(self, target: RegisteredTarget) -> TargetEvidence:
+        """Returns the evidence about one process of a target."""
+        key = (target.id, target.started_ms)
+        found = self._evidence.get(key)
+        if found is None:
+            found = self._evidence[key] = TargetEvidence()
+        return found
+
+    def evidence_by_id(self, target_id: str) -> TargetEvidence | None:
+        """Returns the evidence about a registered target, or None if it is unknown."""
+        target = self._registry.get(target_id)
+        return None if target is None else self.evidence(target)
+
+    def is_connected(self, target: RegisteredTarget) -> bool:
+        """Whether an open connection to a target is idle."""
+        return self._pool.has_idle((target.id, target.started_ms))
+
+    def sweep(self) -> None:
+        """Closes idle connections and forgets targets that are gone; called now and then."""
+        known = {(t.id, t.started_ms) for t in self._registry.target_list.targets}
+        self._evidence = {
+            key: evidence
+            for key, evidence in self._evidence.items()
+            if key in known or evidence.in_flight > 0
+        }
+        self._pool.sweep(lambda key: key in known)
+
+    async def ask(
+        self, target: RegisteredTarget, service: RoutedService
+    ) -> tuple[Offer, Connection] | None:
+        """Asks a target for its state; returns None if it must not receive work."""
+        key = (target.id, target.started_ms)
+        evidence = self.evidence(target)
+        self._count("probes")
+        evidence.open_probes += 1
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                connection = await self._pool.acquire(key, target.host, target.port)
+                answer = await connection.exchange(
+                    "GET",
+                    service.health_path,
+                    self._wire.probe_headers(f"{target.host}:{target.port}", target.id),
+                    b"",
+                    lambda status, headers: bool(
+                        self._wire.answer_facts(status, headers).target_id
+                    ),
+                )
+        except (ExchangeError, TimeoutError) as error:
+            # A full target answers its probes late, which is no fault.
+            if not (isinstance(error, TimeoutError) and evidence.is_full):
+                evidence.on_failure(self._clock())
+            log_event(_log, "probe failed", target=target.id, reason=str(error) or "timeout")
+            return None
+        finally:
+            evidence.open_probes -= 1
+        facts = self._wire.answer_facts(answer.status, answer.headers)
+        if facts.load is not None:
+            evidence.on_load(self._clock(), facts.load)
+        if facts.target_id != target.id or facts.is_not_run or answer.status != 200:
+            log_event(
+                _log, "probe refused", target=target.id, status=answer.status, by=facts.target_id
+            )
+            if facts.target_id != target.id:
+                # The address belongs to another target now, so this one is gone.
+                evidence.on_failure(self._clock())
+                connection.close()
+            elif facts.is_not_run:
+                self.release(target, connection)
+            else:
+                connection.close()
+            return None
+        if not connection.is_usable:
+            connection.close()
+            return None
+        connection.on_idle_timeout(facts.idle_timeout)
+        return Offer(target, facts.load, facts.cold_for > 0), connection
+
+    def give_back(self, task: asyncio.Task) -> None:
+        """Keeps the connection of a candidate whose answer nobody waited for."""
+        if task.cancelled() or task.exception() is not None or task.result() is None:
+            return
+        offer, connection = task.result()
+        self.release(offer.target, connection)
+
+    def release(self, target: RegisteredTarget, connection: Connection) -> None:
+        """Takes a connection back after a whole answer."""
+        self._pool.release((target.id, target.started_ms), connection)
+
+    async def is_reachable(self, target: RegisteredTarget) -> bool:
+        """Whether a target accepts a new connection."""
+        try:
+            connection = await connect(target.host, target.port, self._clock(), CONNECT_TIMEOUT_S)
+        except ExchangeError:
+            return False
+        connection.close()
+        return True
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -164,7 +164,7 @@
         """Returns the time in seconds on the node's clock."""
         return self._clock()
 
-    async def _run(self, part: "_TablePart | _TargetsPart | _ZonesPart") -> None:
+    async def _run(self, part: "_Part") -> None:
         backoff = Backoff(RETRY_FIRST_S, RETRY_MAX_S, self._rng)
         while True:
             if not self._is_watcher():
@@ -207,20 +207,31 @@
         self._owner.on_store_reached(True)
 
 
-class _TablePart:
-    """Keeps the route table."""
+class _Part:
+    """A part of the state that is read whole once and then watched."""
 
-    name = "table"
+    name = ""
 
     def __init__(self, store: Store, owner: SharedStateOwner, sync: StoreSync) -> None:
         self._store = store
         self._owner = owner
+        self._sync = sync
         self._revision = 0
 
     def restart(self) -> None:
         """Reads the whole part with the next step."""
         self._revision = 0
 
+    async def step(self) -> None:
+        """Makes one call."""
+        raise NotImplementedError
+
+
+class _TablePart(_Part):
+    """Keeps the route table."""
+
+    name = "table"
+
     async def step(self) -> None:
         """Makes one call."""
         if not self._revision:
@@ -232,20 +243,11 @@
             await asyncio.sleep(GROUP_S)
 
 
-class _ZonesPart:
+class _ZonesPart(_Part):
     """Keeps the availability zones that are out."""
 
     name = "closed zones"
 
-    def __init__(self, store: Store, owner: SharedStateOwner, sync: StoreSync) -> None:
-        self._store = store
-        self._owner = owner
-        self._revision = 0
-
-    def restart(self) -> None:
-        """Reads the whole part with the next step."""
-        self._revision = 0
-
     async def step(self) -> None:
         """Makes one call."""
         if self._revision:
@@ -256,7 +258,7 @@
         self._revision = closed.version.revision
 
 
-class _TargetsPart:
+class _TargetsPart(_Part):
     """Keeps the registered targets.
 
     After an outage of the store living targets may be missing from its list for a while. Their
@@ -266,16 +268,9 @@
     name = "targets"
 
     def __init__(self, store: Store, owner: SharedStateOwner, sync: StoreSync) -> None:
-        self._store = store
-        self._owner = owner
-        self._sync = sync
-        self._revision = 0
+        super().__init__(store, owner, sync)
         self._settled_at: float | None = None
 
-    def restart(self) -> None:
-        """Reads the whole part with the next step."""
-        self._revision = 0
-
     async def step(self) -> None:
         """Makes one call."""
         if self._settled_at is not None and self._sync.now() >= self._settled_at:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -119,7 +119,8 @@
         port = await server.listen()
         pool = ConnectionPool(lambda: now[0], lambda: None)
         first = await pool.acquire("k", "127.0.0.1", port)
-        pool.release("k", first, 5.0)
+        first.on_idle_timeout(5.0)
+        pool.release("k", first)
         now[0] = age
         second = await pool.acquire("k", "127.0.0.1", port)
         self.assertEqual(second is first, connections == 1)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -24,7 +24,8 @@
     RouteTable,
 )
 from orioleloft_core.waitline import WaitLine
-from orioleloftd.forwarding import EntryRequest, Forwarder
+from orioleloftd.forwarding import Forwarder
+from orioleloftd.jobs import EntryRequest
 from standins.target import Behaviour, TargetStandIn
 from tests.support.loop import async_test
 
@@ -129,6 +130,9 @@
         replies = [await self.send() for _ in range(5)]
         self.assertEqual({reply.status for reply in replies}, {200})
         self.assertEqual(self.targets[0].runs, [])
+        # Its probes would take the place of a candidate again and again (incident inc-0ac0).
+        evidence = self.forwarder.access.evidence_by_id("t0")
+        self.assertGreater(evidence.failures(time.monotonic()), 0)
 
     @async_test
     async def test_dead_target(self):
@@ -163,7 +167,7 @@
         line = WaitLine()
         for moment in range(100):
             line.on_served(time.monotonic() + moment / 100)
-        self.forwarder._lines["s"] = line
+        self.forwarder._placer._lines["s"] = line
         replies = await asyncio.gather(*[self.send() for _ in range(12)])
         watcher.cancel()
         self.assertEqual({reply.status for reply in replies}, {200})
@@ -258,5 +262,5 @@
             self.assertTrue({reply.status for reply in replies} <= {200, 503})
         ids = [run.request_id for run in self.runs]
         self.assertEqual(len(ids), len(set(ids)))
-        idle = [c for group in self.forwarder._pool._idle.values() for c in group]
+        idle = [c for group in self.forwarder.access._pool._idle.values() for c in group]
         self.assertEqual(len(idle), len({id(connection) for connection in idle}))
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -10,8 +10,8 @@
 from orioleloft_adapter.headers import PlatformHeaders
 from orioleloft_core.errors import Code
 from orioleloft_core.routes import CallerLimits
-from orioleloftd.forwarding import EntryReply
 from orioleloftd.frontend import CallerConnections
+from orioleloftd.jobs import EntryReply
 from tests.support.loop import async_test, exchange
 
 MAX_HEADER_BYTES = 2048
