Hear a node that returns with a smaller incarnation; remove what nothing uses

Cause: incarnations are Unix milliseconds, and the time of day may jump back by seconds. A node that restarted within the jump was ignored by all others until its clock had caught up (new test of the fleet: still unheard after 4 s). Ruled out: a counter in the store, which is a write for each start and may be down. Change: a smaller incarnation is taken from a node that is down. Unused fields and methods go.

--- a/packages/core/orioleloft_core/entrysettings.py
+++ b/packages/core/orioleloft_core/entrysettings.py
@@ -26,7 +26,6 @@
         cold_slack: requests a second allowed on top of it.
         max_address_lifetime: longest time for which callers keep entry addresses.
         probes_per_target: probes a second and target allowed to the fleet on average over a day.
-        config_deadline: time within which a new configuration is in force.
     """
 
     grace_period: float = 6.0
@@ -37,7 +36,6 @@
     cold_slack: float = 5.0
     max_address_lifetime: float = 5.0
     probes_per_target: float = 60.0
-    config_deadline: float = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,7 +45,6 @@
     Attributes:
         name: name of the node.
         zone: availability zone.
-        region: region.
         callers: address for callers' requests.
         readiness: address for the platform's readiness checks.
         addresses: address for callers that ask for entry addresses.
@@ -63,7 +60,6 @@
 
     name: str
     zone: str
-    region: str
     callers: Endpoint
     readiness: Endpoint
     addresses: Endpoint
--- a/packages/core/orioleloft_core/evidence.py
+++ b/packages/core/orioleloft_core/evidence.py
@@ -1,11 +1,7 @@
 """What a node has seen of each target: load reports, requests of its own, failures, slowness."""
 
 import dataclasses
-import math
 
-# A load figure changes many times a second; after this time a report says little. Seconds, from
-# measurements of spells of slow machines that last about 0.3 s.
-REPORT_DECAY_S = 0.3
 # Failures count half after this time, in seconds. A failing target gets trial requests again
 # after a few half-lives.
 FAILURE_HALF_LIFE_S = 2.5
@@ -47,31 +43,20 @@
         self.in_flight = 0
         self.open_probes = 0
         self._load: LoadFigures | None = None
-        self._load_at = -math.inf
         self._sent_since_load = 0
         self._failures = 0.0
         self._failures_at = 0.0
         self._slowness = 1.0
         self._slowness_at = 0.0
 
-    @property
-    def load(self) -> LoadFigures | None:
-        """The last load figures, however old."""
-        return self._load
-
     @property
     def is_full(self) -> bool:
         """Whether the last load figures left no slot free."""
         return self._load is not None and self._load.running >= self._load.slots
 
-    def load_age(self, now: float) -> float:
-        """Returns the age of the load figures in seconds."""
-        return now - self._load_at
-
-    def on_load(self, now: float, load: LoadFigures) -> None:
+    def on_load(self, load: LoadFigures) -> None:
         """Takes the load figures of an answer."""
         self._load = load
-        self._load_at = now
         self._sent_since_load = 0
 
     def on_chosen(self) -> None:
@@ -115,10 +100,6 @@
         age = max(0.0, now - self._slowness_at)
         return 1.0 + (self._slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
 
-    def freshness(self, now: float) -> float:
-        """Returns how much the load figures still say, from 1 for new ones down to 0."""
-        return math.exp(-max(0.0, self.load_age(now)) / REPORT_DECAY_S)
-
     def on_sign(self, now: float, failures: float, slowness: float) -> None:
         """Takes what another node has seen.
 
--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -28,8 +28,6 @@
 DOWN_PING_PERIOD_S = 1.0
 # Nodes that watch the store for all others.
 WATCHERS = 2
-# Datagrams are kept below the usual size of a packet, in bytes.
-MAX_DATAGRAM_BYTES = 1300
 
 
 @dataclasses.dataclass(frozen=True)
@@ -313,7 +311,10 @@
             return None
         self.add(state.name, state.host, state.zone)
         member = self._members[state.name]
-        if member.state is not None and state.incarnation < member.state.incarnation:
+        is_older = member.state is not None and state.incarnation < member.state.incarnation
+        # The time of day may have jumped back before a restart, so a node that is down may return
+        # with a smaller incarnation.
+        if is_older and not member.is_down:
             return None
         member.host = state.host
         member.state = state
--- a/packages/node/orioleloftd/connections.py
+++ b/packages/node/orioleloftd/connections.py
@@ -215,11 +215,6 @@
         self._on_open = on_open
         self._idle: dict[object, list[Connection]] = {}
 
-    @property
-    def idle_count(self) -> int:
-        """Number of idle connections."""
-        return sum(len(idle) for idle in self._idle.values())
-
     def has_idle(self, key: object) -> bool:
         """Whether a connection that may still be used is idle."""
         now = self._clock()
--- a/packages/node/orioleloftd/frontend.py
+++ b/packages/node/orioleloftd/frontend.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Protocol
 
 from tornado import http1connection, httpserver, httputil, iostream
@@ -56,7 +56,6 @@
         self._gateway = gateway
         self._wire = wire
         self.open_requests = 0
-        self._streams: set[CallerStream] = set()
         super().initialize(self, max_buffer_size=MAX_BUFFER_BYTES)
         self.apply_limits(gateway.limits())
 
@@ -74,19 +73,8 @@
         """Serves a new connection."""
         caller = CallerStream(stream.socket, max_buffer_size=MAX_BUFFER_BYTES)
         caller.set_nodelay(True)
-        self._streams.add(caller)
         super().handle_stream(caller, address)
 
-    def on_close(self, server_conn) -> None:
-        """Forgets a connection."""
-        super().on_close(server_conn)
-        self._streams.discard(server_conn.stream)
-
-    @property
-    def streams(self) -> Iterable[CallerStream]:
-        """The open connections."""
-        return self._streams
-
 
 class _RequestReader(httputil.HTTPMessageDelegate):
     """Reads one request whole, has it served and writes the answer."""
--- a/packages/node/orioleloftd/peering.py
+++ b/packages/node/orioleloftd/peering.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import logging
 from collections.abc import Callable
@@ -133,20 +134,21 @@
             raise ExchangeError(f"{host} sent no readable state: {error}", True) from error
 
 
+@dataclasses.dataclass(frozen=True)
 class SharedState:
-    """Parts of the shared state that a node has handed over; None where it had nothing newer."""
+    """Parts of the shared state that a node has handed over; None where it had nothing newer.
 
-    def __init__(
-        self,
-        table: RouteTable | None,
-        targets: TargetList | None,
-        closed_zones: ClosedZones | None,
-        nodes: list[tuple[str, str, str]],
-    ) -> None:
-        self.table = table
-        self.targets = targets
-        self.closed_zones = closed_zones
-        self.nodes = nodes
+    Attributes:
+        table: route table.
+        targets: registered targets.
+        closed_zones: availability zones that are out.
+        nodes: name, address and zone of the nodes that it knows.
+    """
+
+    table: RouteTable | None
+    targets: TargetList | None
+    closed_zones: ClosedZones | None
+    nodes: list[tuple[str, str, str]]
 
 
 def _write_versions(known: Knowledge) -> str:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -112,6 +112,17 @@
         states = {state.name: state for state in network.fleets["n1"].alive()}
         self.assertEqual(states["n0"].incarnation, 2)
 
+    def test_return_after_the_time_of_day_jumped_back(self):
+        """Guards against a restarted node that is ignored until its clock has caught up."""
+        network = Network(6)
+        for index in range(6):
+            network.start(index, incarnation=5000)
+        network.run(4)
+        network.start(0, incarnation=2600)
+        network.run(4)
+        for name in list(network.fleets)[1:]:
+            self.assertIn("n0", network.seen(name))
+
     def test_watchers(self):
         """Guards against every node watching the store, and against nobody doing so."""
         network = Network(15)
