Count bodies against the memory while they arrive; answer 400 to versions that are no list

Cause: the front end checked each chunk against the bodies of requests already being served, so uploads that were all still arriving could take all of the node's memory. packing.from_plain raised TypeError for a value without a length, which the state exchange turned into an internal error instead of 400. Change: a chunk reserves memory when it arrives and it is given back when the request ends or its connection closes; from_plain checks for a list first. Tests: test_memory_of_bodies names slow uploads beside each other; test_peering failed for the plain number and null before the change.

--- a/packages/core/orioleloft_core/packing.py
+++ b/packages/core/orioleloft_core/packing.py
@@ -39,9 +39,9 @@
     """Builds a data class from the list of its field values.
 
     Raises:
-        ValueError: a value is not of the field's type.
+        ValueError: the values are no list, or one is not of the field's type.
     """
-    return _class_reader(cls)(values)
+    return _class_reader(cls)(_listed(cls, list, values))
 
 
 def from_tagged(classes: dict[str, type], values: Sequence[Any]) -> Any:
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -1,7 +1,6 @@
 """One entry node: its parts, its timers and what it does when it starts, changes and stops."""
 
 import asyncio
-import json
 import logging
 import math
 import random
@@ -29,7 +28,7 @@
     TargetList,
     hold_removals,
 )
-from orioleloft_core.routes import FIRST_LIMITS, CallerLimits, RouteTable, ShareChooser
+from orioleloft_core.routes import FIRST_LIMITS, CallerLimits, Route, RouteTable, ShareChooser
 from orioleloft_core.stopping import Stopping
 from orioleloftd.connections import ExchangeError, HttpClient
 from orioleloftd.exposition import NodeMetrics
@@ -442,34 +441,36 @@
         """Whether callers should go to other nodes after their answer."""
         return self._stopping.has_begun
 
-    def may_buffer(self, size: int) -> bool:
-        """Whether the node has memory for more of a body."""
-        return size + self._buffered <= self._settings.memory_bytes * BODY_MEMORY_SHARE
+    def reserve_memory(self, size: int) -> bool:
+        """Reserves memory for a part of a body; returns False if there is none left."""
+        if self._buffered + size > self._settings.memory_bytes * BODY_MEMORY_SHARE:
+            return False
+        self._buffered += size
+        return True
+
+    def release_memory(self, size: int) -> None:
+        """Gives reserved memory back."""
+        self._buffered -= size
 
     async def serve(self, request: EntryRequest) -> EntryReply:
         """Returns the answer to a request."""
-        self._buffered += len(request.body)
-        route_name = ""
-        try:
-            reply = None
-            if self._table is None or not self._registry.is_loaded:
-                reply = self._refuse(request, Code.NODE_STARTING, "no configuration is known")
-            elif self._stopping.refuses(node_clock()):
-                reply = self._refuse(request, Code.NODE_STOPPING, "the node stops")
-            if reply is None:
-                route = self._table.route(request.host, request.path)
-                if route is None:
-                    text = f"no route in version {self._table.version}"
-                    reply = self._refuse(request, Code.UNKNOWN_ROUTE, text)
-                else:
-                    route_name = route.name
-                    service = self._shares.choose(route)
-                    reply = await self._forwarder.forward(request, route, service)
-        finally:
-            self._buffered -= len(request.body)
-        self._record(request, route_name, reply)
+        route = None
+        if self._table is None or not self._registry.is_loaded:
+            reply = self._refuse(request, Code.NODE_STARTING, "no configuration is known")
+        elif self._stopping.refuses(node_clock()):
+            reply = self._refuse(request, Code.NODE_STOPPING, "the node stops")
+        else:
+            route = self._table.route(request.host, request.path)
+            reply = await self._serve_route(request, route)
+        self._record(request, route.name if route else "", reply)
         return reply
 
+    async def _serve_route(self, request: EntryRequest, route: Route | None) -> EntryReply:
+        if route is None:
+            text = f"no route in version {self._table.version}"
+            return self._refuse(request, Code.UNKNOWN_ROUTE, text)
+        return await self._forwarder.forward(request, route, self._shares.choose(route))
+
     def _refuse(self, request: EntryRequest, code: Code, text: str) -> EntryReply:
         return self._forwarder.error_reply(request.id, code, text)
 
@@ -487,8 +488,3 @@
             reason=reply.message or None,
             retry_after=round(reply.retry_after, 2) if reply.retry_after else None,
         )
-
-
-def as_json(document: object) -> bytes:
-    """Returns a document as JSON."""
-    return json.dumps(document, separators=(",", ":")).encode()
--- a/packages/node/orioleloftd/frontend.py
+++ b/packages/node/orioleloftd/frontend.py
@@ -41,8 +41,11 @@
     def closes_connections(self) -> bool:
         """Whether callers should go to other nodes after their answer."""
 
-    def may_buffer(self, size: int) -> bool:
-        """Whether the node has memory for a body of this size beside the others."""
+    def reserve_memory(self, size: int) -> bool:
+        """Reserves memory for a part of a body; returns False if there is none left."""
+
+    def release_memory(self, size: int) -> None:
+        """Gives reserved memory back."""
 
     async def serve(self, request: EntryRequest) -> EntryReply:
         """Returns the answer to a request."""
@@ -93,6 +96,7 @@
         self._stream: CallerStream = connection.stream
         self._chunks: list[bytes] = []
         self._size = 0
+        self._reserved = 0
         self._arrived_at = 0.0
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
@@ -133,8 +137,9 @@
         self._size += len(chunk)
         if self._size > self._gateway.limits().max_body_bytes:
             self._refuse(Refusal(Code.REQUEST_TOO_LARGE, "The body is too large."))
-        if not self._gateway.may_buffer(len(chunk)):
+        if not self._gateway.reserve_memory(len(chunk)):
             self._refuse(Refusal(Code.NO_CAPACITY, "The node has no memory for the body."))
+        self._reserved += len(chunk)
         self._chunks.append(chunk)
 
     def _refuse(self, refusal: Refusal) -> None:
@@ -143,8 +148,14 @@
         self._stream.refusal = refusal
         raise httputil.HTTPInputError(refusal.message)
 
+    def _release_memory(self) -> None:
+        self._gateway.release_memory(self._reserved)
+        self._reserved = 0
+
     def on_connection_close(self) -> None:
         self._stop_timer()
+        if self._task is None:
+            self._release_memory()
         self._cancel()
 
     def finish(self) -> None:
@@ -171,6 +182,7 @@
 
     def _on_served(self, request: EntryRequest, task: asyncio.Task) -> None:
         self._server.open_requests -= 1
+        self._release_memory()
         if task.cancelled():
             log_event(_log, "caller left", request=request.id)
             return
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -29,6 +29,8 @@
         self.cancelled = []
         self.is_stopping = False
         self.hold = None
+        self.memory = 10_000
+        self.reserved = 0
         self.reply = EntryReply(200, httputil.HTTPHeaders({"X-A": "1"}), b"hi")
 
     def start(self):
@@ -45,9 +47,15 @@
     def closes_connections(self):
         return self.is_stopping
 
-    def may_buffer(self, size):
+    def reserve_memory(self, size):
+        if self.reserved + size > self.memory:
+            return False
+        self.reserved += size
         return True
 
+    def release_memory(self, size):
+        self.reserved -= size
+
     async def serve(self, request):
         self.served.append(request)
         try:
@@ -149,6 +157,28 @@
             await asyncio.sleep(0.01)
         self.assertEqual(self.cancelled, self.served)
 
+    @params(
+        (b"Content-Length: 9", b"part", False),
+        (b"Transfer-Encoding: chunked", b"4\r\npart\r\n", False),
+        (b"Content-Length: 4", b"full", True),
+    )
+    @async_test
+    async def test_memory_of_bodies(self, framing, sent, is_whole):
+        """Guards against many slow uploads that take all memory before any of them is whole."""
+        self.hold = asyncio.Event()
+        self.memory = 6
+        port = self.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(post(framing, body=sent))
+        while not self.reserved or is_whole > len(self.served):
+            await asyncio.sleep(0.005)
+        refusal = await exchange(port, post(b"Content-Length: 4", body=b"more"))
+        self.assertIn(Code.NO_CAPACITY.value.encode(), refusal)
+        self.assertEqual(self.reserved, 4)
+        writer.close()
+        while self.reserved:
+            await asyncio.sleep(0.005)
+
     @params((Code.NO_CAPACITY, 503, "0.50"), (Code.TARGET_BROKE_OFF, 502, None))
     @async_test
     async def test_own_answers(self, code, status, retry_after):
--- /dev/null
+++ b/tests/test_peering.py
@@ -0,0 +1,47 @@
+"""Tests of the state that nodes hand to each other."""
+
+import base64
+import json
+import unittest
+
+import msgpack
+from nose2.tools import params
+
+from orioleloft_core import packing
+from orioleloft_core.fleet import Knowledge
+from orioleloft_core.registry import ClosedZones, ContentVersion, TargetList
+from orioleloft_core.routes import FIRST_LIMITS, RouteTable
+from orioleloftd.peering import StateExchange
+
+TABLE = RouteTable(3, (), (), FIRST_LIMITS)
+TARGETS = TargetList(ContentVersion(5, 1), ())
+CLOSED = ClosedZones(ContentVersion(7, 1), ("za",))
+
+
+def encoded(document):
+    return base64.urlsafe_b64encode(json.dumps(document).encode()).decode()
+
+
+class StateExchangeTest(unittest.TestCase):
+    def answer(self, known):
+        exchange = StateExchange(None, 0)
+        return exchange.answer({"known": known}, TABLE, TARGETS, CLOSED, [])
+
+    @params("x", encoded(5), encoded({"a": 1}), encoded([1]), encoded([1, 2, 3]), encoded(None))
+    def test_unreadable_versions(self, known):
+        """Guards against a request of a damaged node that ends as an internal error."""
+        self.assertEqual(self.answer(known)[0], 400)
+
+    @params(
+        ("", [True, True, True]),
+        (encoded(packing.to_plain(Knowledge(3, TARGETS.version, CLOSED.version))), [False] * 3),
+        (
+            encoded(packing.to_plain(Knowledge(2, TARGETS.version, CLOSED.version))),
+            [True, False, False],
+        ),
+    )
+    def test_parts_handed_over(self, known, parts):
+        """Guards against state that is sent although it is known, or kept back."""
+        status, _, body = self.answer(known)
+        self.assertEqual(status, 200)
+        self.assertEqual([part is not None for part in msgpack.unpackb(body)[:3]], parts)
