Take back targets that were chosen and not sent; know when nothing of a request was sent

Cause: a target found for a hedge that was not sent stayed counted until its next load figures, and against its cold ration. The forwarder never produced NOT_SENT, so a payment whose connection ended while it was idle was reported as in doubt. TIMED_OUT, was_sent and an argument of probe_headers had no user. Change: Placer.withdraw undoes what choosing has counted; an exchange checks its connection before the first byte and says that nothing was sent, which allows another attempt also for a non-idempotent request. TIMED_OUT is removed with its row in test_attempts, as the route's timeout ends all attempts of a request at once. The two copies of give_back share finished_result, which logs a failed task. Factors of hedging are named constants.

--- a/packages/core/orioleloft_core/attempts.py
+++ b/packages/core/orioleloft_core/attempts.py
@@ -13,7 +13,6 @@
     REFUSED = "refused"
     NOT_SENT = "not-sent"
     BROKEN = "broken"
-    TIMED_OUT = "timed-out"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,7 +22,6 @@
     Attributes:
         end: how it ended. `REFUSED` and `NOT_SENT` prove that the target ran nothing.
         status: status of a whole answer.
-        promises_not_run: whether the answer's status would tell the caller that nothing ran.
     """
 
     end: AttemptEnd
@@ -74,8 +72,6 @@
         case Attempt(end=AttemptEnd.BROKEN):
             failure = Fail(Code.TARGET_BROKE_OFF)
             return TryNext(failure) if is_idempotent else failure
-        case Attempt(end=AttemptEnd.TIMED_OUT):
-            return Fail(Code.DEADLINE_AFTER_START)
     if attempt.status in NOT_RUN_STATUSES:
         # The target does not state that it ran nothing, so its status must not promise it.
         failure = Fail(Code.TARGET_BROKE_OFF)
--- a/packages/core/orioleloft_core/coldstart.py
+++ b/packages/core/orioleloft_core/coldstart.py
@@ -63,6 +63,12 @@
         """Counts a request to a cold target."""
         self._sent.setdefault(target_id, []).append(now)
 
+    def on_withdrawn(self, target_id: str) -> None:
+        """Forgets the last request counted by `on_sent`, as it was not sent."""
+        sent = self._sent.get(target_id)
+        if sent:
+            sent.pop()
+
     def forget(self, known: Iterable[str]) -> None:
         """Forgets targets that are not known any more."""
         kept = set(known)
--- a/packages/core/orioleloft_core/evidence.py
+++ b/packages/core/orioleloft_core/evidence.py
@@ -63,6 +63,10 @@
         """Counts a request of this node that the load figures cannot include yet."""
         self._sent_since_load += 1
 
+    def on_withdrawn(self) -> None:
+        """Forgets a request counted by `on_chosen` that was not sent."""
+        self._sent_since_load = max(0, self._sent_since_load - 1)
+
     def running(self, load: LoadFigures) -> int:
         """Returns the requests at the target: those it states and newer ones of this node."""
         return max(load.running + self._sent_since_load, self.in_flight)
--- a/packages/node/orioleloftd/connections.py
+++ b/packages/node/orioleloftd/connections.py
@@ -135,6 +135,9 @@
         Raises:
             ExchangeError: no whole answer was read. The connection is closed.
         """
+        if not self.is_usable:
+            self.close()
+            raise ExchangeError("the connection ended while it was idle", was_sent=False)
         http = http1connection.HTTP1Connection(self._stream, True, _PARAMS)
         is_early = False
 
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -22,11 +22,16 @@
 from orioleloftd.jobs import Chosen, EntryReply, EntryRequest, Job
 from orioleloftd.logs import log_event
 from orioleloftd.placing import Placer
-from orioleloftd.probing import TargetAccess
+from orioleloftd.probing import TargetAccess, finished_result
 from orioleloftd.wire import Wire
 
 # A hedge starts at this multiple of the expected time at the target.
 HEDGE_FACTOR = 1.6
+# A hedge is early enough if this multiple of the working time is left of the target latency, and no
+# hedge starts before this multiple of the expected time: work varies by some 15 per cent.
+HEDGE_MARGIN = 1.15
+# An attempt that is given up would have taken longer by about this factor.
+ABANDONED_FACTOR = 1.5
 # An answer this much later than expected is a sign of a slow target that other nodes are told.
 SLOW_SIGN_FACTOR = 2.5
 # Bounds of the delay after which a refused caller may return, in seconds. The spread keeps callers
@@ -189,11 +194,10 @@
                 hedge.cancel()
 
     def _give_back(self, hedge: asyncio.Task) -> None:
-        """Keeps the connection of a target that was chosen for a hedge too late."""
-        if hedge.cancelled() or hedge.exception() is not None or hedge.result() is None:
-            return
-        chosen = hedge.result()
-        self._access.release(chosen.offer.target, chosen.connection)
+        """Gives a target back that was found for a hedge too late."""
+        chosen = finished_result(hedge)
+        if chosen is not None:
+            self._placer.withdraw(chosen)
 
     async def _first_or_next(
         self, job: Job, running: dict[asyncio.Task, float]
@@ -210,7 +214,7 @@
         if not job.sent:
             self._budget.earn(self._clock(), service)
         elif not self._budget.take(self._clock(), service):
-            self._access.release(chosen.offer.target, chosen.connection)
+            self._placer.withdraw(chosen)
             return self._error(request, Code.NO_CAPACITY, "the budget of retries is spent")
         self._send(job, running, chosen, "retry" if job.sent else "first")
         return None
@@ -229,7 +233,7 @@
         if chosen is None:
             return False
         if not self._budget.take(self._clock(), job.service.name, HEDGE_RESERVE):
-            self._access.release(chosen.offer.target, chosen.connection)
+            self._placer.withdraw(chosen)
             return False
         self._send(job, running, chosen, "hedge")
         return True
@@ -258,8 +262,8 @@
 
     def _hedge_delay(self, route: Route, service_time: float) -> float:
         work = self._work_times.expected(route.name, route.target_latency)
-        latest = route.target_latency - 1.15 * work
-        return max(1.15 * service_time, min(HEDGE_FACTOR * service_time, latest))
+        latest = route.target_latency - HEDGE_MARGIN * work
+        return max(HEDGE_MARGIN * service_time, min(HEDGE_FACTOR * service_time, latest))
 
     def _conclude(self, job: Job, result: _Result) -> EntryReply | None:
         """Returns the reply that an attempt leads to, or None for another attempt."""
@@ -312,6 +316,8 @@
             log_event(
                 _log, "answer lost", request=job.request.id, target=target.id, reason=str(error)
             )
+            if not error.was_sent:
+                return _Result(Attempt(AttemptEnd.NOT_SENT), target)
             self._on_failure(target)
             self._check_for_crash(job, target)
             return _Result(Attempt(AttemptEnd.BROKEN), target)
@@ -381,8 +387,8 @@
         if factor < SLOW_SIGN_FACTOR / 2:
             return
         target = chosen.offer.target
-        self._access.evidence(target).on_duration(self._clock(), factor * 1.5)
-        self._tell(target.id, 0.0, factor * 1.5)
+        self._access.evidence(target).on_duration(self._clock(), factor * ABANDONED_FACTOR)
+        self._tell(target.id, 0.0, factor * ABANDONED_FACTOR)
 
     def _on_failure(self, target: RegisteredTarget) -> None:
         self._access.evidence(target).on_failure(self._clock())
--- a/packages/node/orioleloftd/placing.py
+++ b/packages/node/orioleloftd/placing.py
@@ -266,8 +266,9 @@
         work = self._work_times.expected(job.route.name, latency)
         allowed = [
             offer
-            for offer in answered
-            if self._registry.may_use(offer.target)
+            for offer, connection in answered.items()
+            if connection.is_usable
+            and self._registry.may_use(offer.target)
             and self._selector.is_open(offer)
             and (takes_slow or self._is_in_time(job, offer, now, work))
             and self._may_take(now, job, offer)
@@ -287,6 +288,14 @@
         due = job.request.arrived_at + job.route.target_latency
         return expected <= max(due - now, LATE_PACE * work)
 
+    def withdraw(self, chosen: Chosen) -> None:
+        """Takes back a target that was chosen for a request and not sent it."""
+        target = chosen.offer.target
+        self._access.evidence(target).on_withdrawn()
+        if chosen.offer.is_cold:
+            self._cold_starts.on_withdrawn(target.id)
+        self._access.release(target, chosen.connection)
+
     def _may_take(self, now: float, job: Job, offer: Offer) -> bool:
         if not offer.is_cold:
             return True
--- a/packages/node/orioleloftd/probing.py
+++ b/packages/node/orioleloftd/probing.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any
 
 from orioleloft_core.evidence import TargetEvidence
 from orioleloft_core.registry import RegisteredTarget, Registry
@@ -24,6 +25,16 @@
 _log = logging.getLogger(__name__)
 
 
+def finished_result(task: asyncio.Task) -> Any:
+    """Returns the result of a task that has ended, or None if it has none."""
+    if task.cancelled():
+        return None
+    if task.exception() is not None:
+        _log.error("task failed", exc_info=task.exception())
+        return None
+    return task.result()
+
+
 class TargetAccess:
     """Connections to targets and what they have shown.
 
@@ -89,7 +100,7 @@
                 answer = await connection.exchange(
                     "GET",
                     service.health_path,
-                    self._wire.probe_headers(f"{target.host}:{target.port}", target.id),
+                    self._wire.probe_headers(f"{target.host}:{target.port}"),
                     b"",
                     lambda status, headers: bool(
                         self._wire.answer_facts(status, headers).target_id
@@ -127,10 +138,10 @@
 
     def give_back(self, task: asyncio.Task) -> None:
         """Keeps the connection of a candidate whose answer nobody waited for."""
-        if task.cancelled() or task.exception() is not None or task.result() is None:
-            return
-        offer, connection = task.result()
-        self.release(offer.target, connection)
+        found = finished_result(task)
+        if found is not None:
+            offer, connection = found
+            self.release(offer.target, connection)
 
     def release(self, target: RegisteredTarget, connection: Connection) -> None:
         """Takes a connection back after a whole answer."""
--- a/packages/node/orioleloftd/wire.py
+++ b/packages/node/orioleloftd/wire.py
@@ -60,7 +60,7 @@
     ) -> httputil.HTTPHeaders:
         """Returns the headers of a request to a target."""
 
-    def probe_headers(self, host: str, target_id: str) -> httputil.HTTPHeaders:
+    def probe_headers(self, host: str) -> httputil.HTTPHeaders:
         """Returns the headers of a request for a target's state."""
 
     def answer_facts(self, status: int, headers: httputil.HTTPHeaders) -> AnswerFacts:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -24,7 +24,6 @@
         (Attempt(AttemptEnd.REFUSED, 421), TryNext(SHED), TryNext(SHED)),
         (Attempt(AttemptEnd.NOT_SENT), TryNext(UNREACHABLE), TryNext(UNREACHABLE)),
         (Attempt(AttemptEnd.BROKEN), TryNext(BROKEN), BROKEN),
-        (Attempt(AttemptEnd.TIMED_OUT), TIMED_OUT, TIMED_OUT),
     )
     def test_decision(self, attempt, idempotent, non_idempotent):
         """Guards against a second run of a payment, and against retries that are not made."""
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -60,6 +60,14 @@
         owners = [n for n in names if ColdStarts(n, 1.5, 5.0).is_owner("t", names)]
         self.assertEqual(len(owners), OWNERS)
 
+    def test_withdrawn_request(self):
+        """Guards against a ration spent on requests that were never sent."""
+        node = ColdStarts("n0", 1.5, 5.0)
+        for _ in range(20):
+            self.assertTrue(node.may_send(0.0, "t", 2.1, ()))
+            node.on_sent(0.0, "t")
+            node.on_withdrawn("t")
+
     @params((2.1, 1.5, 5.0, 2), (8.4, 1.5, 5.0, 4), (0.0, 1.0, 0.0, 0))
     def test_owner_rate(self, cold_per_s, multiplier, slack, rate):
         """Guards against owners that together pass the operators' bound."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -76,6 +76,21 @@
         self.assertFalse(connection.is_usable)
         server.close()
 
+    @params(("closed", None), ("late answer", answer(b"old")))
+    @async_test
+    async def test_connection_that_ended_while_idle(self, name, sent):
+        """Guards against a payment reported as in doubt although no byte of it was sent."""
+        server = RawServer(sent)
+        port = await server.listen()
+        connection = await connect("127.0.0.1", port, 0.0, 1.0)
+        connection._stream.write(b"GET / HTTP/1.1\r\n\r\n")
+        while connection.is_usable:
+            await asyncio.sleep(0.005)
+        with self.assertRaises(ExchangeError) as raised:
+            await connection.exchange("POST", "/", httputil.HTTPHeaders(), b"", lambda *_: True)
+        self.assertFalse(raised.exception.was_sent)
+        server.close()
+
     @params((False, True), (True, False))
     @async_test
     async def test_answer_that_ends_with_its_connection(self, resets, is_whole):
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -33,6 +33,16 @@
         self.assertEqual(evidence.slowness(0.0) > 1.5, is_slow)
         self.assertAlmostEqual(evidence.slowness(120.0), 1.0, delta=0.01)
 
+    @params((2, 0, 2), (2, 1, 1), (1, 3, 0))
+    def test_requests_since_the_last_figures(self, chosen, withdrawn, running):
+        """Guards against a target that looks busy with a hedge that was never sent."""
+        evidence = TargetEvidence()
+        for _ in range(chosen):
+            evidence.on_chosen()
+        for _ in range(withdrawn):
+            evidence.on_withdrawn()
+        self.assertEqual(evidence.running(LoadFigures(0, 0, 6)), running)
+
     def test_full(self):
         """Guards against a busy target whose late probe counts as a failure."""
         evidence = TargetEvidence()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 
 from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_core.attempts import AttemptEnd
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.coldstart import ColdStarts
 from orioleloft_core.crashes import CRASH_LIMIT
@@ -25,7 +26,7 @@
 )
 from orioleloft_core.waitline import WaitLine
 from orioleloftd.forwarding import Forwarder
-from orioleloftd.jobs import EntryRequest
+from orioleloftd.jobs import EntryRequest, Job
 from standins.target import Behaviour, TargetStandIn
 from tests.support.loop import async_test
 
@@ -75,6 +76,11 @@
         )
         self.numbers = iter(range(10_000))
 
+    def job(self, route=LOOKUP):
+        now = time.monotonic()
+        request = EntryRequest("j", "GET", "a", "/x", httputil.HTTPHeaders(), b"", now, 4.0)
+        return Job(request, route, SERVICE, now + 4.0)
+
     async def send(self, route=LOOKUP, method="GET", path="/x", body=b"", patience=4.0):
         request_id = f"r{next(self.numbers)}"
         headers = httputil.HTTPHeaders({"Host": "a", "X-Request-Id": request_id})
@@ -220,6 +226,29 @@
             await asyncio.sleep(0.005)
         task.cancel()
 
+    @async_test
+    async def test_hedge_that_is_not_sent(self):
+        """Guards against targets that look busy with hedges for which there was no budget."""
+        self.start(Behaviour(work_s=0.02), Behaviour(work_s=0.02))
+        chosen = await self.forwarder._placer.ask_candidates(self.job())
+        evidence = self.forwarder.access.evidence(chosen.offer.target)
+        while self.forwarder._budget.take(time.monotonic(), "s"):
+            pass
+        self.assertFalse(self.forwarder._start_hedge(self.job(), {}, chosen))
+        self.assertEqual(evidence.running(chosen.offer.load), 0)
+        self.assertTrue(self.forwarder.access.is_connected(chosen.offer.target))
+
+    @async_test
+    async def test_connection_that_ended_before_a_payment(self):
+        """Guards against a payment that fails, or is in doubt, while no byte of it was sent."""
+        self.start(Behaviour(), Behaviour())
+        job = self.job(HOLD)
+        chosen = await self.forwarder._placer.ask_candidates(job)
+        chosen.connection.close()
+        result = await self.forwarder._dispatch(job, chosen)
+        self.assertEqual(result.attempt.end, AttemptEnd.NOT_SENT)
+        self.assertEqual(self.told, [])
+
     @params(("n0", 2), ("n9", 0))
     @async_test
     async def test_cold_target(self, name, most):
