Do not call a look-up not run because its second target refused it

Cause: the reply kept for the case that no further attempt can be made was overwritten by each attempt. An idempotent request whose first target lost the answer and whose second one refused it was answered 503, which promises that nothing ran. Change: a refusal, or an attempt of which nothing was sent, does not replace an earlier reply. Test: test_refusal_after_an_attempt_that_may_have_run failed for two of its rows before.

--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -11,7 +11,7 @@
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.coldstart import ColdStarts
 from orioleloft_core.crashes import Crashes
-from orioleloft_core.errors import KINDS, Code
+from orioleloft_core.errors import KINDS, Code, Outcome
 from orioleloft_core.evidence import LoadFigures
 from orioleloft_core.fleetbudget import FleetBudget
 from orioleloft_core.registry import RegisteredTarget, Registry
@@ -286,9 +286,18 @@
             case TryNext(otherwise=Relay()):
                 job.fallback = self._relay(result)
             case TryNext(otherwise=Fail(code=code)):
-                job.fallback = self._error(job.request, code, f"target {result.target.id}")
+                self._fall_back(job, code, f"target {result.target.id}")
         return None
 
+    def _fall_back(self, job: Job, code: Code, text: str) -> None:
+        """Keeps an error for the case that no further attempt can be made.
+
+        An attempt that proves that nothing ran says nothing of the attempts before it.
+        """
+        if job.fallback is not None and KINDS[code].outcome is Outcome.NOT_RUN:
+            return
+        job.fallback = self._error(job.request, code, text)
+
     def _relay(self, result: _Result) -> EntryReply:
         answer = result.answer
         return EntryReply(answer.status, self._wire.caller_headers(answer.headers), answer.body)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,7 +9,7 @@
 from tornado import httputil
 
 from orioleloft_adapter.headers import PlatformHeaders
-from orioleloft_core.attempts import AttemptEnd
+from orioleloft_core.attempts import Attempt, AttemptEnd
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.coldstart import ColdStarts
 from orioleloft_core.crashes import CRASH_LIMIT
@@ -25,7 +25,7 @@
     RouteTable,
 )
 from orioleloft_core.waitline import WaitLine
-from orioleloftd.forwarding import Forwarder
+from orioleloftd.forwarding import Forwarder, _Result
 from orioleloftd.jobs import EntryRequest, Job
 from standins.target import Behaviour, TargetStandIn
 from tests.support.loop import async_test
@@ -226,6 +226,21 @@
             await asyncio.sleep(0.005)
         task.cancel()
 
+    @params(
+        (Attempt(AttemptEnd.BROKEN), Attempt(AttemptEnd.REFUSED, 503), Code.TARGET_BROKE_OFF),
+        (Attempt(AttemptEnd.BROKEN), Attempt(AttemptEnd.NOT_SENT), Code.TARGET_BROKE_OFF),
+        (Attempt(AttemptEnd.REFUSED, 503), Attempt(AttemptEnd.BROKEN), Code.TARGET_BROKE_OFF),
+        (Attempt(AttemptEnd.REFUSED, 503), Attempt(AttemptEnd.REFUSED, 421), Code.TARGET_SHED),
+    )
+    @async_test
+    async def test_refusal_after_an_attempt_that_may_have_run(self, first, second, code):
+        """Guards against a look-up called "not run" because its second target refused it."""
+        self.start(Behaviour(), Behaviour())
+        job = self.job()
+        for attempt, target in zip((first, second), self.registry.target_list.targets, strict=True):
+            self.assertIsNone(self.forwarder._conclude(job, _Result(attempt, target)))
+        self.assertEqual(job.fallback.code, code)
+
     @async_test
     async def test_hedge_that_is_not_sent(self):
         """Guards against targets that look busy with hedges for which there was no budget."""
