--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,13 +15,23 @@
 import threading
 from collections.abc import Callable
 
-from standins.processes import HOST, Processes, closing, fetch_json, free_ports, wait_until
+from standins.processes import (
+    HOST,
+    Processes,
+    closing,
+    fetch_json,
+    free_ports,
+    publish,
+    wait_until,
+    write_node_settings,
+)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ZONES = ("za", "zb", "zc")
 NODES = 5
 REQUESTS = 60
 START_S = 20.0
+GRACE_S = 3.0
 START_NOTE = ROOT / "examples" / "start.ini"
 ZONE_NOTE = ROOT / "examples" / "zone-out.ini"
 LOOKUPS, LEDGER = "lookups.example", "ledger.example"
@@ -48,7 +58,7 @@
         (self.folder / "orioleloft.ini").write_text(
             f"[store]\naddress = {self.store}\noperator = demo\n"
         )
-        self.publish(START_NOTE)
+        publish(self.folder, START_NOTE)
         for service, count in (("availability", 6), ("ledger", 4)):
             self.processes.start(
                 service,
@@ -66,25 +76,19 @@
 
     def _start_node(self, index: int) -> None:
         host, zone = self.hosts[index], ZONES[index % len(ZONES)]
-        lines = [
-            f"node=entry-{index}",
-            f"zone={zone}",
-            f"platform.address={self.store}",
-            f"seeds={self.hosts[0]}:{self.ports['control']}",
-            "bootstrap=true",
-            "bounds=grace_period=3s",
-            *(f"listen.{name}={host}:{port}" for name, port in self.ports.items()),
-        ]
-        path = self.folder / f"entry-{index}.conf"
-        path.write_text("\n".join(lines) + "\n")
+        path = write_node_settings(
+            self.folder,
+            f"entry-{index}",
+            host=host,
+            ports=self.ports,
+            zone=zone,
+            store=self.store,
+            seeds=[f"{self.hosts[0]}:{self.ports['control']}"],
+            grace_period=GRACE_S,
+            is_first_start=True,
+        )
         self.processes.start(f"entry-{index}", "-m", "orioleloftd.main", f"--settings={path}")
 
-    def publish(self, note: pathlib.Path) -> None:
-        """Publishes a release note with the operators' command."""
-        settings = f"--settings={self.folder / 'orioleloft.ini'}"
-        command = [sys.executable, "-m", "orioleloft.main", settings, "publish", str(note)]
-        subprocess.run(command, check=True, timeout=START_S, stdout=subprocess.DEVNULL)
-
     def is_ready(self, host: str) -> bool:
         """Whether a node says that it is ready and knows targets of all zones."""
         connection = http.client.HTTPConnection(host, self.ports["ready"], timeout=2)
@@ -155,7 +159,7 @@
 
 
 def _check_zone(deployment: Deployment, addresses: list[str]) -> bool:
-    deployment.publish(ZONE_NOTE)
+    publish(deployment.folder, ZONE_NOTE)
     # The operators' bound for a zone that is taken out is 5 s.
     threading.Event().wait(5.0)
     before = {run["request_id"] for run in deployment.runs("availability")}
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -11,11 +11,13 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 HOST = "127.0.0.1"
 POLL_SECONDS = 0.05
+# Time for one call of the operators' command, in seconds.
+PUBLISH_SECONDS = 20.0
 
 
 class Processes:
@@ -62,6 +64,10 @@
         del self._running[name]
         return code
 
+    def has_ended(self, name: str) -> bool:
+        """Whether a process has ended."""
+        return self._running[name].poll() is not None
+
     def kill(self, name: str) -> None:
         """Kills a process and waits for its end."""
         process = self._running.pop(name)
@@ -82,6 +88,44 @@
         self._running.clear()
 
 
+def write_node_settings(
+    folder: pathlib.Path,
+    name: str,
+    *,
+    host: str,
+    ports: Mapping[str, int],
+    zone: str,
+    store: str,
+    seeds: Sequence[str],
+    grace_period: float,
+    is_first_start: bool,
+) -> pathlib.Path:
+    """Writes the settings file of an entry node; returns its path."""
+    lines = [
+        f"node={name}",
+        f"zone={zone}",
+        f"platform.address={store}",
+        f"seeds={','.join(seeds)}",
+        f"bootstrap={str(is_first_start).lower()}",
+        f"bounds=grace_period={grace_period:g}s",
+        *(f"listen.{service}={host}:{port}" for service, port in ports.items()),
+    ]
+    path = folder / f"{name}.conf"
+    path.write_text("\n".join(lines) + "\n")
+    return path
+
+
+def publish(folder: pathlib.Path, note: pathlib.Path) -> None:
+    """Publishes a release note with the operators' command and the settings in a folder.
+
+    Raises:
+        subprocess.SubprocessError: the command failed or took too long.
+    """
+    settings = f"--settings={folder / 'orioleloft.ini'}"
+    command = [sys.executable, "-m", "orioleloft.main", settings, "publish", str(note)]
+    subprocess.run(command, check=True, timeout=PUBLISH_SECONDS, stdout=subprocess.DEVNULL)
+
+
 def free_ports(count: int) -> list[int]:
     """Returns loopback ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
--- a/standins/target.py
+++ b/standins/target.py
@@ -10,7 +10,7 @@
 import random
 import time
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from absl import app, flags
@@ -23,6 +23,8 @@
 
 HEALTH_PATH = "/health"
 RECORD_PATH = "/control/record"
+BEHAVIOUR_PATH = "/control/behaviour"
+DRAIN_PATH = "/control/drain"
 
 
 @dataclasses.dataclass
@@ -58,13 +60,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class Run:
-    """One request that a target has begun."""
+    """One request that a target has begun.
+
+    Attributes:
+        request_id: id of the request.
+        method: HTTP method.
+        path: path and query.
+        target: name of the target.
+        body: body of the request.
+        at: time on the system's monotonic clock, in seconds.
+    """
 
     request_id: str
     method: str
     path: str
     target: str
     body: str
+    at: float
 
 
 class TargetStandIn:
@@ -74,9 +86,16 @@
         name: id of the target.
         behaviour: how it behaves.
         seed: seed of its random choices.
+        on_run: called for each request that it begins.
     """
 
-    def __init__(self, name: str, behaviour: Behaviour, seed: int = 1) -> None:
+    def __init__(
+        self,
+        name: str,
+        behaviour: Behaviour,
+        seed: int = 1,
+        on_run: Callable[[Run], None] = lambda run: None,
+    ) -> None:
         self.name = name
         self.behaviour = behaviour
         self.runs: list[Run] = []
@@ -85,8 +104,10 @@
         self.running = 0
         self.waiting = 0
         self.is_draining = False
+        self._on_run = on_run
         self._rng = random.Random(f"{seed} {name}")
         self._started = time.monotonic()
+        self.started_ms = time.time_ns() // 1_000_000
         self._slots = asyncio.Semaphore(behaviour.slots)
         self._tasks: set[asyncio.Task] = set()
         self._server = httpserver.HTTPServer(self._handle)
@@ -114,6 +135,14 @@
             document = [dataclasses.asdict(run) for run in self.runs]
             _answer(request, 200, {}, json.dumps(document).encode())
             return
+        if request.path == BEHAVIOUR_PATH:
+            self.behaviour = dataclasses.replace(self.behaviour, **json.loads(request.body))
+            _answer(request, 200, {})
+            return
+        if request.path == DRAIN_PATH:
+            self.is_draining = True
+            _answer(request, 200, {})
+            return
         expected = request.headers.get(wire.EXPECTED_TARGET, self.name)
         if expected != self.name:
             _answer(request, 421, {wire.ANSWERING_TARGET: self.name})
@@ -144,7 +173,9 @@
         self.running += 1
         try:
             body = request.body.decode("latin1")
-            self.runs.append(Run(request_id, request.method, request.path, self.name, body))
+            run = Run(request_id, request.method, request.uri, self.name, body, time.monotonic())
+            self.runs.append(run)
+            self._on_run(run)
             await asyncio.sleep(self._work_s())
             self._finish(request, echo)
         finally:
@@ -167,7 +198,8 @@
         if draw < behaviour.lost_share + behaviour.error_share:
             _answer(request, 500, self._headers() | echo | {wire.SIGNATURE: "s"})
             return
-        body = json.dumps({"target": self.name, "path": request.path}).encode()
+        document = {"target": self.name, "path": request.path}
+        body = json.dumps(document | {"id": echo[wire.REQUEST_ID]}).encode()
         headers = self._headers() | echo | {wire.SIGNATURE: f"s{len(body)}"}
         _answer(request, 200, headers, body)
         if self._rng.random() < behaviour.stale_share:
@@ -190,7 +222,7 @@
             "state": "draining" if self.is_draining else "ready",
             "cold_remaining": f"{self.cold_ms}ms",
             "sequence": sequence,
-            "born": 1,
+            "born": self.started_ms,
         }
         return {"metadata": {"name": self.name}, "spec": spec}
 
@@ -229,17 +261,30 @@
 _ZONES = flags.DEFINE_list("zones", ["za"], "availability zones, taken in turn")
 _WORK_MS = flags.DEFINE_float("work_ms", 20.0, "mean working time in milliseconds")
 _SLOTS = flags.DEFINE_integer("slots", 2, "requests that a target runs at a time")
+_FIRST = flags.DEFINE_integer("first", 0, "number of the first target")
+_PORT = flags.DEFINE_integer("port", 0, "port of the first target, or 0 for any")
+_ADVERTISED = flags.DEFINE_integer("advertised", 0, "port to register, or 0 for the own one")
+_COLD_S = flags.DEFINE_float("cold_s", 0.0, "time for which a target is cold, in seconds")
+_PRINTS = flags.DEFINE_bool("prints_runs", False, "whether each run is printed as JSON")
 _BEAT_S = 0.5
 
 
+def _print_run(run: Run) -> None:
+    print(json.dumps(dataclasses.asdict(run)), flush=True)
+
+
 async def _run() -> None:
     store = parse_endpoint(_STORE.value)
     client = HttpClient(time.monotonic)
     targets = []
-    for index in range(_COUNT.value):
-        behaviour = Behaviour(slots=_SLOTS.value, work_s=_WORK_MS.value / 1000)
-        target = TargetStandIn(f"{_SERVICE.value}-{index:02d}", behaviour)
-        port = target.listen(_HOST.value)
+    on_run = _print_run if _PRINTS.value else lambda run: None
+    for index in range(_FIRST.value, _FIRST.value + _COUNT.value):
+        behaviour = Behaviour(
+            slots=_SLOTS.value, work_s=_WORK_MS.value / 1000, cold_s=_COLD_S.value
+        )
+        target = TargetStandIn(f"{_SERVICE.value}-{index:02d}", behaviour, on_run=on_run)
+        port = target.listen(_HOST.value, _PORT.value)
+        port = _ADVERTISED.value or port
         targets.append((target, port, _ZONES.value[index % len(_ZONES.value)]))
     print("listening", *(port for _, port, _ in targets), flush=True)
     sequence = 0
