Test the node as a whole on loopback, and an answer beside a search for a hedge

Also covered: a stop during the start, 503 and not 404 before a configuration is known, no calls of the store at a restart beside a living fleet, the memory bound of bodies.

--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,144 @@
+"""Tests of one entry node on loopback, with a store in memory."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+from tornado import httputil
+
+from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_core.entrysettings import Bounds, Endpoint, EntrySettings
+from orioleloft_core.errors import Code
+from orioleloft_core.fleet import Roster
+from orioleloft_core.registry import ClosedZones, ContentVersion, RegisteredTarget, TargetList
+from orioleloft_core.routes import FIRST_LIMITS, RouteTable
+from orioleloftd.entry import EntryNode, node_clock
+from orioleloftd.jobs import EntryRequest
+from orioleloftd.storesync import StoreError
+from standins.processes import free_ports
+from tests.support.loop import async_test
+
+HOST = "127.0.0.1"
+TABLE = RouteTable(3, (), (), FIRST_LIMITS)
+TARGET = RegisteredTarget("t0", "s", HOST, 9, "za", 2, False, 1)
+
+
+class MemoryStore:
+    """A store that answers at once, or never."""
+
+    def __init__(self, is_up=True):
+        self.is_up = is_up
+        self.calls = []
+        self.roster = Roster((), 0)
+
+    async def _answer(self, call, content):
+        self.calls.append(call)
+        if not self.is_up:
+            raise StoreError("down")
+        return content
+
+    async def read_table(self):
+        return await self._answer("read table", (TABLE, 5))
+
+    async def read_targets(self):
+        return await self._answer("read targets", TargetList(ContentVersion(5, 1), (TARGET,)))
+
+    async def read_closed_zones(self):
+        return await self._answer("read zones", ClosedZones(ContentVersion(5, 1), ()))
+
+    async def read_roster(self):
+        return await self._answer("read roster", self.roster)
+
+    async def write_roster(self, roster):
+        self.roster = Roster(roster.nodes, self.roster.revision + 1)
+        return await self._answer("write roster", True)
+
+    async def _watch(self, revision, wait):
+        await asyncio.Event().wait()
+
+    watch_table = watch_targets = watch_closed_zones = _watch
+
+
+class EntryTest(unittest.TestCase):
+    def start(self, store, seeds=(), name="n0"):
+        front, ready, directory, control = (Endpoint(HOST, port) for port in free_ports(4))
+        settings = EntrySettings(
+            name,
+            "za",
+            front,
+            ready,
+            directory,
+            control,
+            control,
+            seeds=seeds,
+            bounds=Bounds(grace_period=0.5),
+        )
+        self.stopped = asyncio.Event()
+        return EntryNode(settings, PlatformHeaders(), store, self.stopped.set)
+
+    async def until_ready(self, node):
+        while not node.is_ready:
+            await asyncio.sleep(0.005)
+
+    @async_test
+    async def test_seeds_that_do_not_answer(self):
+        """Guards against a restart that waits for dead seeds before it reads the store.
+
+        After all VMs have lost power each seed accepts connections late or never.
+        """
+        held = []
+        server = await asyncio.start_server(lambda reader, writer: held.append(writer), HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        node = self.start(MemoryStore(), seeds=(Endpoint("localhost", port),))
+        node._exchange._port = port
+        await node.start()
+        await self.until_ready(node)
+        self.assertEqual(len(held), 1)
+        self.assertTrue(node._tasks)
+        server.close()
+
+    @async_test
+    async def test_restart_in_a_fleet_that_lives(self):
+        """Guards against lists read from the store at each of 800 restarts a day."""
+        store = MemoryStore()
+        node = self.start(store)
+        node._state.on_table(TABLE)
+        node._state.on_targets(TargetList(ContentVersion(5, 1), (TARGET,)))
+        await node.start()
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self.assertEqual(store.calls, [])
+
+    @params((False, Code.NODE_STARTING, 503), (True, Code.UNKNOWN_ROUTE, 404))
+    @async_test
+    async def test_request_before_and_after_the_state_is_known(self, is_up, code, status):
+        """Guards against a node that says 404 before it knows a configuration."""
+        node = self.start(MemoryStore(is_up))
+        await node.start()
+        if is_up:
+            await self.until_ready(node)
+        request = EntryRequest(
+            "r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), 1.0
+        )
+        reply = await node.serve(request)
+        self.assertEqual((reply.code, reply.status), (code, status))
+
+    @async_test
+    async def test_stop_before_the_state_is_known(self):
+        """Guards against a node that is named, or stays, after a stop during its start."""
+        node = self.start(MemoryStore(is_up=False))
+        await node.start()
+        node.stop()
+        node.stop()
+        self.assertFalse(node.is_ready)
+        self.assertEqual(node.entry_hosts("za", "a"), [])
+        await self.stopped.wait()
+
+    def test_memory_of_bodies(self):
+        """Guards against bodies over a quarter of the memory, and memory never given back."""
+        node = self.start(MemoryStore())
+        quarter = 300 * 1024 * 1024 // 4
+        self.assertTrue(node.reserve_memory(quarter - 10))
+        self.assertFalse(node.reserve_memory(11))
+        node.release_memory(quarter - 10)
+        self.assertTrue(node.reserve_memory(quarter))
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -265,6 +265,27 @@
         self.assertEqual(result.attempt.end, AttemptEnd.NOT_SENT)
         self.assertEqual(self.told, [])
 
+    @async_test
+    async def test_answer_beside_a_search_for_a_hedge(self):
+        """Guards against an answer that is held while a target for a hedge is looked for."""
+        self.start(Behaviour(work_s=0.02), Behaviour(work_s=0.02))
+        for _ in range(40):
+            await self.send()
+        for target in self.targets:
+            target.behaviour.work_s = 0.5
+        placer = self.forwarder._placer
+        ask, asks = placer.ask_candidates, []
+
+        async def ask_once(job, takes_slow=False):
+            asks.append(job)
+            if len(asks) > 1:
+                await asyncio.Event().wait()
+            return await ask(job, takes_slow)
+
+        placer.ask_candidates = ask_once
+        self.assertEqual((await self.send()).status, 200)
+        self.assertEqual(len(asks), 2)
+
     @params(("n0", 2), ("n9", 0))
     @async_test
     async def test_cold_target(self, name, most):
