--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -483,6 +483,7 @@
             route=route,
             status=reply.status,
             ms=round(seconds * 1000),
+            patience_ms=round(request.patience * 1000) if request.patience else None,
             code=reply.code.value if reply.code else None,
             reason=reply.message or None,
             retry_after=round(reply.retry_after, 2) if reply.retry_after else None,
