Wake the reading of the store only on nodes that watch it

Each tick woke the three parts on all nodes, and each of them ranked all nodes: 0.8 ms/s in a fleet of 142. Idle processor time before, on a machine with a load of 12: 6 to 12 ms/s for 5 and for 15 nodes alike. Waking on the change only was ruled out: a watch that ends and begins between two ticks would never be woken.

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -342,7 +342,9 @@
         self._port.send(self._fleet.tick(node_clock()))
         if len(self._fleet.alive()) < down_before:
             log_event(_log, "node down", alive=[state.name for state in self._fleet.alive()])
-        self._spawn(self._sync.poke())
+        # Each part that is woken ranks all nodes, which takes 0.2 ms in a fleet of 142.
+        if self._watches():
+            self._spawn(self._sync.poke())
         self._fetch_newer()
 
     def _on_datagram(self, datagram: Datagram) -> None:
