Leave the watch to a restarted node only when it reads the store; let three nodes watch

Cause, found in a read of the change: a node that restarts beside a living fleet does not read the store for 2 s, but said that it reaches it, so that the others left the watch to it. If both watchers restarted, nobody would hear a configuration for 2 s, which is its whole bound. The two watchers may also both be among three nodes that are cut off from the store in silence (1 in 35 at 15 nodes); with three it is 1 in 455. Ruled out: shorter watches (twice the calls, and still longer than the bound).

--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -48,8 +48,10 @@
 MIN_LOCAL = 2
 # Nodes that are named to callers whose zone has too few of them.
 NAMED_WITHOUT_LOCAL = 15
-# Nodes that watch the store for all others.
-WATCHERS = 2
+# Nodes that watch the store for all others. A watcher that is cut off from the store in silence
+# notices after 5 s, and a configuration has to be in force in 2 s. With three watchers, three nodes
+# cut off out of 15 are all of them once in 455 times; with two, once in 35.
+WATCHERS = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,7 +80,8 @@
         incarnation: start of the process; a greater one replaces a smaller one.
         is_ready: whether it serves callers.
         is_leaving: whether it is being stopped.
-        reaches_store: whether its last call to the store was answered.
+        reaches_store: whether it reads the store if it is a watcher, and its last call was
+            answered; a node that starts reads it only once it hears the fleet.
         knowledge: versions that it holds.
     """
 
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -69,7 +69,7 @@
 BODY_MEMORY_SHARE = 0.25
 # At the first start of the whole fleet nodes wait for this long, and for a random part of the
 # second time, before they read the store themselves, in seconds. All start within 0.3 s; by then
-# they hear each other, and two of them read for all.
+# they hear each other, and the watchers read for all.
 FIRST_START_WAIT_S = 2.5
 FIRST_START_SPREAD_S = 1.0
 # A node that restarts waits for its seeds for this long before it reads the store, in seconds; a
@@ -132,10 +132,10 @@
             settings.peers.host,
             settings.zone,
             incarnation,
-            False,
-            False,
-            True,
-            Knowledge(),
+            is_ready=False,
+            is_leaving=False,
+            reaches_store=False,
+            knowledge=Knowledge(),
         )
 
     def _make_forwarder(self) -> Forwarder:
@@ -205,13 +205,8 @@
 
     async def _join(self) -> None:
         """Finds the other nodes and the shared state."""
-        asks = {
-            asyncio.get_running_loop().create_task(self._ask_seed(seed))
-            for seed in self._settings.seeds
-        }
-        self._tasks |= asks
-        for ask in asks:
-            ask.add_done_callback(self._on_task_done)
+        for seed in self._settings.seeds:
+            self._spawn(self._ask_seed(seed))
         wait = SEED_WAIT_S
         if self._settings.is_first_start:
             wait = FIRST_START_WAIT_S + self._rng.random() * FIRST_START_SPREAD_S
@@ -221,6 +216,8 @@
             # The fleet lives; whether this node is a watcher shows when it hears the others.
             await asyncio.sleep(HEAR_S)
         self._may_read_store = True
+        # Only now may the others leave the watch to this node.
+        self._update(reaches_store=True)
         await self._keep_roster()
 
     async def _wait_until_ready(self, seconds: float) -> None:
@@ -230,17 +227,18 @@
 
     async def _keep_roster(self) -> None:
         """Learns nodes from the store while this node watches, and keeps their list up to date."""
-        pause = ROSTER_FIRST_S
+        is_first = True
         while True:
             try:
                 if self._watches():
-                    await self._compare_roster(may_write=pause == ROSTER_PERIOD_S)
+                    await self._compare_roster(may_write=not is_first)
             except StoreError as error:
                 log_event(_log, "nodes not read", logging.WARNING, reason=str(error))
                 await asyncio.sleep(self._rng.uniform(0.5, 1.5))
                 continue
+            pause = ROSTER_FIRST_S if is_first else ROSTER_PERIOD_S
             await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
-            pause = ROSTER_PERIOD_S
+            is_first = False
 
     async def _compare_roster(self, may_write: bool) -> None:
         listed = await self._store.read_roster()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -93,6 +93,7 @@
         node._exchange._port = port
         await node.start()
         await self.until_ready(node)
+        self.assertTrue(node._fleet.own.reaches_store)
         self.assertEqual(len(held), 1)
         self.assertTrue(node._tasks)
         server.close()
@@ -108,6 +109,7 @@
         for _ in range(20):
             await asyncio.sleep(0)
         self.assertEqual(store.calls, [])
+        self.assertFalse(node._fleet.own.reaches_store)
 
     @params((False, Code.NODE_STARTING, 503), (True, Code.UNKNOWN_ROUTE, 404))
     @async_test
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -227,6 +227,28 @@
         others = {n for n, f in network.fleets.items() if f.is_watcher()} - watching
         self.assertEqual(len(others), fleets.WATCHERS)
 
+    def test_watch_stays_until_a_restarted_watcher_reads(self):
+        """Guards against a configuration that nobody hears while both watchers restart.
+
+        They come back within a second and do not read the store before they hear the fleet.
+        """
+        network = Network(15)
+        network.run(6)
+        first = {n for n, fleet in network.fleets.items() if fleet.is_watcher()}
+        network.down = set(first)
+        network.run(3)
+        for name in first:
+            network.start(int(name[1:]), incarnation=2)
+            network.fleets[name].update(reaches_store=False)
+        network.run(2)
+        others = {n for n, f in network.fleets.items() if f.is_watcher()} - first
+        self.assertEqual(len(others), fleets.WATCHERS)
+        for name in first:
+            network.fleets[name].update(reaches_store=True)
+        network.run(4)
+        watching = {n for n, f in network.fleets.items() if f.is_watcher()}
+        self.assertEqual(watching, first)
+
     def test_isolated_node_watches(self):
         """Guards against a node cut off from all others that waits for their news."""
         network = Network(15)
