Make the soak's faults hit half of a service; send extra answers late

One target that misbehaves is avoided within a few requests, and an answer repeated at once is seen before the connection is used again.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -146,7 +146,7 @@
                 *("-m", "standins.target", f"--store={HOST}:{self._store.port}"),
                 *(f"--service={service}", f"--first={int(number)}", f"--zones={zone}"),
                 *(f"--port={own}", f"--advertised={advertised}", "--prints_runs"),
-                *("--cold_s=0.5", "--slots=4", "--work_ms=15"),
+                *("--cold_s=0.5", "--slots=4", "--work_ms=40"),
             ]
         self._incarnations[name] = self._incarnations.get(name, 0) + 1
         self._processes.start(name, *arguments)
@@ -218,6 +218,7 @@
             ("slow target", target, self._behave({"pace": 8.0}, {"pace": 1.0})),
             ("lost answers", target, self._behave({"lost_share": 0.4}, {"lost_share": 0.0})),
             ("extra answers", target, self._behave({"stale_share": 0.5}, {"stale_share": 0.0})),
+            ("late answers", target, self._behave({"late_share": 0.5}, {"late_share": 0.0})),
             ("failing target", target, self._behave({"error_share": 0.6}, {"error_share": 0.0})),
             ("store busy", "store", self._store_mode("busy")),
             ("store silent", "store", self._store_mode("silent")),
@@ -286,9 +287,13 @@
 
     def _behave(self, during: dict, after: dict) -> Callable:
         async def work(name: str, seconds: float) -> None:
-            await self._tell(name, BEHAVIOUR_PATH, during)
+            # Half of a service, as requests avoid a single target that misbehaves.
+            service = name.rpartition("-")[0]
+            names = [each for each in self.targets if each.startswith(service)]
+            chosen = self._rng.sample(names, len(names) // 2)
+            await asyncio.gather(*[self._tell(each, BEHAVIOUR_PATH, during) for each in chosen])
             await asyncio.sleep(seconds)
-            await self._tell(name, BEHAVIOUR_PATH, after)
+            await asyncio.gather(*[self._tell(each, BEHAVIOUR_PATH, after) for each in chosen])
 
         return work
 
--- a/standins/target.py
+++ b/standins/target.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 from absl import flags
-from tornado import httpserver, httputil
+from tornado import httpserver, httputil, iostream
 
 from orioleloft_adapter import headers as wire
 from orioleloft_adapter.store import TARGETS
@@ -24,6 +24,8 @@
 
 HEALTH_PATH = "/health"
 RECORD_PATH = "/control/record"
+# Longest time after which an answer is sent a second time, in seconds.
+LATE_S = 0.05
 BEHAVIOUR_PATH = "/control/behaviour"
 DRAIN_PATH = "/control/drain"
 
@@ -43,7 +45,9 @@
         cold_per_s: requests a second above which a cold target falls over.
         error_share: share of requests that end with 500.
         lost_share: share of answers that are lost after the run.
-        stale_share: share of answers that are sent a second time.
+        stale_share: share of answers that are sent a second time at once.
+        late_share: share of answers that are sent a second time up to `LATE_S` later, when the
+            next answer on the connection may be due.
     """
 
     slots: int = 2
@@ -57,6 +61,7 @@
     error_share: float = 0.0
     lost_share: float = 0.0
     stale_share: float = 0.0
+    late_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -203,10 +208,15 @@
         body = json.dumps(document | {"id": echo[wire.REQUEST_ID]}).encode()
         headers = self._headers() | echo | {wire.SIGNATURE: f"s{len(body)}"}
         _answer(request, 200, headers, body)
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, f"Content-Length: {len(body)}"])
+        again = head.encode() + b"\r\n\r\n" + body
+        stream = request.connection.stream
         if self._rng.random() < behaviour.stale_share:
-            lines = [f"{name}: {value}" for name, value in headers.items()]
-            head = "\r\n".join(["HTTP/1.1 200 OK", *lines, f"Content-Length: {len(body)}"])
-            request.connection.stream.write(head.encode() + b"\r\n\r\n" + body)
+            stream.write(again)
+        if self._rng.random() < behaviour.late_share:
+            delay = self._rng.random() * LATE_S
+            asyncio.get_running_loop().call_later(delay, _write_if_open, stream, again)
 
     def _headers(self) -> dict[str, str]:
         pace = round(self.behaviour.pace * 100)
@@ -228,6 +238,11 @@
         return {"metadata": {"name": self.name}, "spec": spec}
 
 
+def _write_if_open(stream: iostream.IOStream, data: bytes) -> None:
+    if not stream.closed():
+        stream.write(data)
+
+
 def _answer(
     request: httputil.HTTPServerRequest,
     status: int,
