--- a/standins/soak.py
+++ b/standins/soak.py
@@ -96,7 +96,7 @@
         self.target_links = {name: Link(HOST, own) for name, (own, _) in self._target_ports.items()}
         self._paused: set[str] = set()
         self._down: set[str] = set()
-        self._incarnations: dict[str, int] = {}
+        self._started: set[str] = set()
         self.callers: list[Caller] = []
         self._is_over = False
         self.unmet: list[str] = []
@@ -124,32 +124,36 @@
 
     def start_process(self, name: str) -> None:
         """Starts a node or target, again if it has run before."""
-        if name in self.nodes:
-            seeds = [f"{host}:{self._ports['control']}" for host in list(self.nodes.values())[:3]]
-            path = write_node_settings(
-                self._folder,
-                name,
-                host=self.nodes[name],
-                ports=self._ports,
-                zone=ZONES[list(self.nodes).index(name) % len(ZONES)],
-                store=f"{HOST}:{self._link_ports[name]}",
-                seeds=seeds,
-                grace_period=GRACE_S,
-                is_first_start=name not in self._incarnations,
-            )
-            arguments = ["-m", "orioleloftd.main", f"--settings={path}"]
-        else:
-            service, _, number = name.rpartition("-")
-            own, advertised = self._target_ports[name]
-            zone = ZONES[int(number) % len(ZONES)]
-            arguments = [
-                *("-m", "standins.target", f"--store={HOST}:{self._store.port}"),
-                *(f"--service={service}", f"--first={int(number)}", f"--zones={zone}"),
-                *(f"--port={own}", f"--advertised={advertised}", "--prints_runs"),
-                *("--cold_s=0.5", "--slots=4", "--work_ms=40"),
-            ]
-        self._incarnations[name] = self._incarnations.get(name, 0) + 1
-        self._processes.start(name, *arguments)
+        is_node = name in self.nodes
+        arguments = self._node_arguments(name) if is_node else self._target_arguments(name)
+        self._started.add(name)
+        self._processes.start(name, "-m", *arguments)
+
+    def _node_arguments(self, name: str) -> list[str]:
+        seeds = [f"{host}:{self._ports['control']}" for host in list(self.nodes.values())[:3]]
+        path = write_node_settings(
+            self._folder,
+            name,
+            host=self.nodes[name],
+            ports=self._ports,
+            zone=ZONES[list(self.nodes).index(name) % len(ZONES)],
+            store=f"{HOST}:{self._link_ports[name]}",
+            seeds=seeds,
+            grace_period=GRACE_S,
+            is_first_start=name not in self._started,
+        )
+        return ["orioleloftd.main", f"--settings={path}"]
+
+    def _target_arguments(self, name: str) -> list[str]:
+        service, _, number = name.rpartition("-")
+        own, advertised = self._target_ports[name]
+        zone = ZONES[int(number) % len(ZONES)]
+        return [
+            *("standins.target", f"--store={HOST}:{self._store.port}"),
+            *(f"--service={service}", f"--first={int(number)}", f"--zones={zone}"),
+            *(f"--port={own}", f"--advertised={advertised}", "--prints_runs"),
+            *("--cold_s=0.5", "--slots=4", "--work_ms=40"),
+        ]
 
     # Load.
 
@@ -190,8 +194,7 @@
         started = time.monotonic()
         faults, running = [], set()
         while (now := time.monotonic() - started) < seconds:
-            kinds = list(self._kinds())
-            what, where, work = self._rng.choice(kinds)
+            what, where, work = self._rng.choice(self._kinds())
             fault = Fault(round(now, 2), what, where, round(self._rng.uniform(*FAULT_S), 2))
             faults.append(fault)
             running.add(asyncio.get_running_loop().create_task(work(where, fault.seconds)))
