Let a spare watcher go on after its first answer from the store

Ruled out: a watch that answers at once, a compacted history (no such line in the log). Change: the same number of watchers counts for ready and for reading nodes. Test: 2,000 random fleets; fails before (a watcher ceases to be one with its first answer).

--- a/packages/core/orioleloft_core/watcherelection.py
+++ b/packages/core/orioleloft_core/watcherelection.py
@@ -86,13 +86,15 @@
 def _is_candidate(own: NodeState, states: list[NodeState]) -> bool:
     """Whether a node is a watcher, at the latest once the takeover delay has passed."""
     reading = _with_access(states, StoreAccess.READING)
+    is_any_lost = any(state.store is StoreAccess.LOST for state in states)
+    watchers = WATCHER_COUNT + SPARE_WATCHER_COUNT * is_any_lost
     match own.store:
         case StoreAccess.READING:
-            return own in _top_ranked(reading, WATCHER_COUNT)
+            # The same number as for ready nodes: a node that may start to read must not have to
+            # stop after its first answer.
+            return own in _top_ranked(reading, watchers)
         case StoreAccess.READY:
             ready = _with_access(states, StoreAccess.READY)
-            is_any_lost = any(state.store is StoreAccess.LOST for state in states)
-            watchers = WATCHER_COUNT + SPARE_WATCHER_COUNT * is_any_lost
             return own in _top_ranked(ready, watchers - len(reading), reading)
         case StoreAccess.LOST:
             # While no node reads the store, some must keep calling it to notice its return.
