Read numbers and store events from outside in one place, with typed errors

Cause: str.isdigit accepts digits that int refuses, float accepts nan and inf, and a store event without an object raised KeyError. One target with a load header of 3,0,² ended the request that it answered; a settings file that is not UTF-8 ended node and command with a stack trace. Change: numericinput parses and checks every number of headers, settings, notes and store objects: ASCII digits, at most 18 of them, finite, in range. A header with a bad number is ignored; an object with one is unreadable and the last good one stays in force; a malformed event is a StoreError, after which the resource is read again. A table whose column names repeat is unreadable.

--- a/packages/command/orioleloft/main.py
+++ b/packages/command/orioleloft/main.py
@@ -59,7 +59,7 @@
             store.get("adapter", "orioleloft_adapter.operatorstore"),
             store["operator"],
         )
-    except (OSError, configparser.Error, KeyError) as error:
+    except (OSError, UnicodeDecodeError, configparser.Error, KeyError) as error:
         remedy = "Write a [store] section with address and operator."
         raise SettingsError(f"{path}: {error}.", remedy) from error
 
--- a/packages/core/orioleloft_core/entrysettings.py
+++ b/packages/core/orioleloft_core/entrysettings.py
@@ -1,8 +1,12 @@
 """Settings of one entry node, independent of the platform's file format."""
 
 import dataclasses
+import math
 
 from orioleloft_core.errors import SettingsError
+from orioleloft_core.numericinput import parse_whole_number
+
+MAX_PORT = 65535
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,7 +87,7 @@
         for field in ("name", "zone"):
             if not getattr(self, field):
                 raise SettingsError(f"the setting {field} is empty.", "Set it and start again.")
-        if self.bounds.grace_period <= 0:
+        if not 0 < self.bounds.grace_period < math.inf:
             raise SettingsError("the grace period is not positive.", "Set a time greater than 0 s.")
 
 
@@ -94,6 +98,10 @@
         SettingsError: the host is empty, or the port is not within 1 to 65535.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    try:
+        number = parse_whole_number(port, MAX_PORT)
+    except ValueError:
+        number = 0
+    if not host or number == 0:
         raise SettingsError(f"{text!r} is not a valid address.", "Write it as host:port.")
-    return Endpoint(host, int(port))
+    return Endpoint(host, number)
--- a/packages/core/orioleloft_core/note.py
+++ b/packages/core/orioleloft_core/note.py
@@ -12,6 +12,7 @@
 
 from orioleloft_core import hashing
 from orioleloft_core.errors import NoteError, ReleaseRefusedError
+from orioleloft_core.numericinput import parse_number, parse_whole_number
 from orioleloft_core.routes import (
     DEFAULT_LIMITS,
     Route,
@@ -122,16 +123,11 @@
     return float(match[1]) / (1000 if match[2] == "ms" else 1)
 
 
-def _parse_whole_number(text: str) -> int:
-    if not text.isdigit():
-        raise ValueError("is not a whole number")
-    return int(text)
-
-
 def _parse_positive_number(text: str) -> int:
-    if _parse_whole_number(text) == 0:
+    number = parse_whole_number(text)
+    if number == 0:
         raise ValueError("is not greater than 0")
-    return int(text)
+    return number
 
 
 def _parse_path_prefix(text: str) -> str:
@@ -156,7 +152,7 @@
 _SERVICE_PARSERS: _FieldParsers = {
     "health_path": str,
     "max_connections": _parse_positive_number,
-    "cold_per_s": float,
+    "cold_per_s": parse_number,
     "cold_start": _parse_duration,
 }
 _ROUTE_PARSERS: _FieldParsers = {
@@ -165,7 +161,7 @@
     "kind": RouteKind,
     "timeout": _parse_duration,
     "target_latency": _parse_duration,
-    "priority": _parse_whole_number,
+    "priority": parse_whole_number,
     "attempts": _parse_positive_number,
     "services": _parse_weighted_services,
 }
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,5 +1,8 @@
 """Tests of the platform adapter: settings file, HTTP headers and stored objects."""
 
+import math
+import pathlib
+import tempfile
 import unittest
 
 from nose2.tools import params
@@ -8,7 +11,7 @@
 from orioleloft_adapter.decoding import DecodingError, decode_table, decode_target
 from orioleloft_adapter.encoding import encode_table
 from orioleloft_adapter.headers import PlatformHeaders
-from orioleloft_adapter.settings import parse_settings
+from orioleloft_adapter.settings import parse_settings, read_settings
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.errors import SettingsError
 from orioleloft_core.observations import LoadFigures
@@ -84,6 +87,9 @@
 }
 
 
+FIRST_SERVICE = TABLE_SPEC["services"]["rows"][0]
+
+
 def target_object(**changes):
     spec = {
         "service": "s",
@@ -99,6 +105,12 @@
     return {"metadata": {"name": "i-1", "deleting": False}, "spec": spec}
 
 
+def table_with_service(**changes):
+    columns = TABLE_SPEC["services"]["columns"]
+    row = [changes.get(name, value) for name, value in zip(columns, FIRST_SERVICE, strict=True)]
+    return {**TABLE_SPEC, "services": {"columns": columns, "rows": [row]}}
+
+
 class SettingsTest(unittest.TestCase):
     def test_complete_file(self):
         """Guards against misread units, lists and bounds, and unknown fields that are refused."""
@@ -116,7 +128,18 @@
         with self.assertRaises(SettingsError):
             parse_settings("\n".join(lines))
 
-    @params("listen.front=10.0.0.1", "bounds=grace_period=6", "platform.ttl_min=soon")
+    @params(
+        "listen.front=10.0.0.1",
+        "bounds=grace_period=6",
+        "platform.ttl_min=soon",
+        "listen.front=10.0.0.1:²",
+        "listen.ready=10.0.0.1:70000",
+        "bounds=grace_period=nans",
+        "bounds=grace_period=infs",
+        "bounds=retry_budget_extra=nan",
+        "bounds=probes_per_s=-1",
+        "limits.memory_mb=inf",
+    )
     def test_malformed_field(self, line):
         """Guards against a malformed field that passes, or an error that states no remedy."""
         name = line.partition("=")[0]
@@ -125,6 +148,16 @@
             parse_settings("\n".join([*kept, line]))
         self.assertTrue(raised.exception.remedy)
 
+    @params(b"", b"node=\xff\xfe", b"\x00" * 100, b"a" * 1_000_000)
+    def test_file_that_is_no_settings_file(self, content):
+        """Guards against a stack trace in place of an error that states the remedy."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "boot.conf")
+            path.write_bytes(content)
+            with self.assertRaises(SettingsError) as raised:
+                read_settings(str(path))
+        self.assertTrue(raised.exception.remedy)
+
 
 class DecodingTest(unittest.TestCase):
     def test_table(self):
@@ -151,6 +184,16 @@
         {**TABLE_SPEC, "limits": None},
         {**TABLE_SPEC, "routes": {"columns": ["name"], "rows": [["a", "b"]]}},
         {**TABLE_SPEC, "services": {"columns": ["health_path"], "rows": [["/h"]]}},
+        {**TABLE_SPEC, "version": "r" + "1" * 30},
+        {**TABLE_SPEC, "version": "r²"},
+        table_with_service(cold_per_s=math.nan),
+        table_with_service(cold_per_s=-1.0),
+        table_with_service(cold_per_s=True),
+        table_with_service(max_connections=math.inf),
+        table_with_service(cold_start="nans"),
+        table_with_service(cold_start="-3s"),
+        {**TABLE_SPEC, "services": {"columns": ["name", "name"], "rows": [["s", "t"]]}},
+        {**TABLE_SPEC, "limits": {**TABLE_SPEC["limits"], "idle_timeout": "infs"}},
     )
     def test_malformed_table(self, spec):
         """Guards against a malformed table that crashes the node or replaces a valid one."""
@@ -175,6 +218,12 @@
         dict(state="happy"),
         dict(zone=None),
         dict(born="soon"),
+        dict(born=-1),
+        dict(born=10**30),
+        dict(address="10.0.0.9:0"),
+        dict(address="10.0.0.9:65536"),
+        dict(address="10.0.0.9:²"),
+        dict(address="10.0.0.9:-1"),
     )
     def test_malformed_target(self, changes):
         """Guards against requests to a target whose registration is malformed.
@@ -206,6 +255,10 @@
         ("3,1,8,400", LoadFigures(3, 1, 8, 4.0)),
         ("3,1", None),
         ("a,b,c", None),
+        ("3,0,²", None),
+        ("3,0,٣", None),
+        ("3,0,-8", None),
+        ("3,0," + "8" * 30, None),
         ("", None),
     )
     def test_load_header(self, text, load):
@@ -213,6 +266,25 @@
         headers = httputil.HTTPHeaders({"X-Server-Load": text})
         self.assertEqual(self.wire_format.parse_response(200, headers).load, load)
 
+    @params(
+        ("timeout=5", 5.0),
+        ("max=3, timeout=5", 5.0),
+        ("timeout=²", None),
+        ("timeout=-5", None),
+        ("timeout=" + "9" * 400, None),
+        ("timeout", None),
+    )
+    def test_keep_alive_header(self, text, seconds):
+        """Guards against a target's header that ends the request with an untyped exception."""
+        headers = httputil.HTTPHeaders({"Keep-Alive": text})
+        self.assertEqual(self.wire_format.parse_response(200, headers).idle_timeout, seconds)
+
+    @params(("1500", 1.5), ("²", 0.0), ("9" * 5000, 0.0))
+    def test_cold_header(self, text, seconds):
+        """Guards against a target that stays cold for ever, or ends the request that it answers."""
+        headers = httputil.HTTPHeaders({"X-Cold-Ms": text})
+        self.assertEqual(self.wire_format.parse_response(200, headers).cold_seconds, seconds)
+
     @params((503, True, True), (503, False, False), (421, False, True), (500, False, False))
     def test_execution_marker(self, status, has_marker, is_not_executed):
         """Guards against retrying a request that the target may have executed.
--- a/tests/test_note.py
+++ b/tests/test_note.py
@@ -36,6 +36,9 @@
         (HEADER + "[route a]\nchange = change\nservices = s:x\n", "whole number"),
         (HEADER + "[route a]\nchange = change\ncolour = red\n", "unknown key"),
         (HEADER + "[zone a]\nstate = away\n", "state = open"),
+        (HEADER + "[route a]\nchange = change\nattempts = ²\n", "not a whole number"),
+        (HEADER + "[service a]\nchange = change\ncold_per_s = nan\n", "not a finite number"),
+        (HEADER + "[service a]\nchange = change\ncold_per_s = -1\n", "not a finite number"),
     )
     def test_faults(self, text, message):
         """Guards against invalid notes that are accepted, or rejected without naming the fault."""
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -3,6 +3,8 @@
 import time
 import unittest
 
+from nose2.tools import params
+
 from orioleloft_adapter.store import NODES_KIND, PlatformStore
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.messages import NodeAddress, NodeList
@@ -15,6 +17,41 @@
 NODE_A, NODE_B = NodeAddress("n0", "10.0.0.1", "za"), NodeAddress("n1", "10.0.0.2", "zb")
 
 
+class WatchTest(unittest.TestCase):
+    @params(
+        {"events": [{"removed": False}], "at": 4},
+        {"events": ["text"], "at": 4},
+        {"events": [{"object": ["no dictionary"]}], "at": 4},
+        {"events": 7, "at": 4},
+        {"at": 4},
+        None,
+    )
+    @async_test
+    async def test_malformed_event(self, content):
+        """Guards against an untyped exception, after which a watch starts again unexplained."""
+        store = PlatformStore(Endpoint(HOST, 1), HttpClient(time.monotonic))
+
+        async def call(*_, **__):
+            return 200, content
+
+        store.call = call
+        for watch in (store.watch_table, store.watch_targets, store.watch_closed_zones):
+            with self.assertRaises(StoreError):
+                await watch(3, 1.0)
+
+    @params({"metadata": {"name": "main"}}, {"metadata": {"name": "main"}, "spec": [1]})
+    @async_test
+    async def test_malformed_table(self, item):
+        """Guards against a malformed object that replaces the table in force or ends the watch."""
+        store = PlatformStore(Endpoint(HOST, 1), HttpClient(time.monotonic))
+
+        async def call(*_, **__):
+            return 200, {"events": [{"object": item}], "at": 9}
+
+        store.call = call
+        self.assertEqual(await store.watch_table(3, 1.0), (None, 9))
+
+
 class RegisteredNodesTest(unittest.TestCase):
     def start_store(self):
         self.store_stand_in = StoreEmulator()
