--- /dev/null
+++ b/packages/command/orioleloft/helptexts.py
@@ -0,0 +1,104 @@
+"""Help texts of the command."""
+
+import dataclasses
+from collections.abc import Sequence
+
+
+@dataclasses.dataclass(frozen=True)
+class Subcommand:
+    """A subcommand as the help shows it.
+
+    Attributes:
+        name: name of the subcommand.
+        operands: its operands, or an empty string.
+        summary: what it does, in one line.
+        example: a complete command line.
+        details: further lines for its own help.
+    """
+
+    name: str
+    operands: str
+    summary: str
+    example: str
+    details: str
+
+
+SUBCOMMANDS = (
+    Subcommand(
+        "check",
+        "FILE",
+        "checks a release note without publishing it",
+        "orioleloft check examples/start.ini",
+        "Needs no settings and no store. Exits with 1 if the note has a fault.",
+    ),
+    Subcommand(
+        "publish",
+        "FILE",
+        "publishes a release note",
+        "orioleloft --settings orioleloft.ini publish examples/zone-out.ini",
+        "Exits with 0 once the store has accepted the note, with 2 if the note contradicts what\n"
+        "is in force, and with 1 if the store did not answer. A note may be published again.",
+    ),
+    Subcommand(
+        "show",
+        "",
+        "shows the routes and services in force",
+        "orioleloft --settings orioleloft.ini show",
+        "Reads the table that was accepted last from the store.",
+    ),
+    Subcommand(
+        "audit",
+        "",
+        "lists the release notes that were accepted",
+        "orioleloft --settings orioleloft.ini audit",
+        "One line a note: time in Unix milliseconds, operator, note, version and changes.",
+    ),
+    Subcommand(
+        "help",
+        "[SUBCOMMAND]",
+        "shows this text, or the help of a subcommand",
+        "orioleloft help publish",
+        "",
+    ),
+)
+
+
+HELP_FLAGS = frozenset({"--help", "-help", "-h"})
+
+
+def requested_help(arguments: Sequence[str]) -> str | None:
+    """Returns the help that a command line asks for by a flag, or None if it asks for none.
+
+    Args:
+        arguments: arguments without the name of the program.
+    """
+    if not HELP_FLAGS & set(arguments):
+        return None
+    texts = [text for text in map(subcommand_help, arguments) if text]
+    return texts[0] if texts else general_help()
+
+
+def general_help() -> str:
+    """Returns the help that lists all subcommands."""
+    lines = [
+        "Checks and publishes release notes, and shows the route table and the audit trail.",
+        "",
+        "Usage: orioleloft [--settings FILE] SUBCOMMAND [FILE]",
+        "",
+    ]
+    for subcommand in SUBCOMMANDS:
+        synopsis = f"{subcommand.name} {subcommand.operands}".strip()
+        lines += [f"  {synopsis:18} {subcommand.summary}", f"  {'':18} e.g. {subcommand.example}"]
+    lines += ["", "--settings names an INI file with the [store] section; see docs/operators.md."]
+    return "\n".join(lines)
+
+
+def subcommand_help(name: str) -> str | None:
+    """Returns the help of one subcommand, or None if there is no such subcommand."""
+    for subcommand in SUBCOMMANDS:
+        if subcommand.name == name:
+            synopsis = f"orioleloft {name} {subcommand.operands}".strip()
+            summary = f"{subcommand.summary[0].upper()}{subcommand.summary[1:]}."
+            lines = [f"Usage: {synopsis}", "", summary, subcommand.details]
+            return "\n".join([*lines, f"Example: {subcommand.example}"])
+    return None
--- a/packages/command/orioleloft/main.py
+++ b/packages/command/orioleloft/main.py
@@ -1,10 +1,4 @@
-"""Checks and publishes release notes, and shows the route table and the audit trail.
-
-orioleloft check FILE
-orioleloft publish FILE
-orioleloft show
-orioleloft audit
-"""
+"""Command line of the operators' command `orioleloft`; see `help` for its subcommands."""
 
 import asyncio
 import configparser
@@ -16,7 +10,7 @@
 
 from absl import app, flags
 
-from orioleloft import publishing
+from orioleloft import helptexts, publishing
 from orioleloft_core import note as notes
 from orioleloft_core.entrysettings import Endpoint, parse_endpoint
 from orioleloft_core.errors import NoteError, OrioleloftError, SettingsError
@@ -92,6 +86,12 @@
         case ["audit"]:
             entries = await _open_store(read_settings(settings_path)).read_audit()
             return [_format_audit_entry(entry) for entry in entries]
+        case ["help"]:
+            return [helptexts.general_help()]
+        case ["help", name] if helptexts.subcommand_help(name):
+            return [helptexts.subcommand_help(name)]
+        case [name, *_] if helptexts.subcommand_help(name):
+            raise app.UsageError(f"wrong operands\n\n{helptexts.subcommand_help(name)}")
     raise app.UsageError(f"unknown subcommand: {' '.join(arguments) or '(none)'}")
 
 
@@ -147,6 +147,12 @@
 
 def run() -> None:
     """Console script: parses the flags and exits with the code that `main` returns."""
+    text = helptexts.requested_help(sys.argv[1:])
+    if text is not None:
+        print(text)
+        return
+    # absl shows the docstring of the main module after a wrong call, and a console script has none.
+    sys.modules["__main__"].__doc__ = helptexts.general_help()
     app.run(main)
 
 
