Learn the contention of targets from service times

Cause: which targets count as full, and how slow nearly full ones are, came from two constants that were read off the site sheets (0.8 and 1.7). Where targets slow down from half of their slots, each one got a fourth request that lowered its throughput; where they do not slow down at all, a third of the slots stayed empty. Change: ContentionCurve finds for each service the share of busy slots from which service times rise and by how much: one step, by comparing requests of the same route below and above it, as shares of the target latency. Observations halve in 15 s; nodes that serve a service send each other theirs every 2 s. It starts from the old constants, needs 20 observations, and a fuller target counts as faster than by these only once 20 requests have shown it, for which 0.02 of the decisions go one above the limit. Requests at slow, cold or queueing targets, at targets slower than the service's others, without work, or with other requests arriving meanwhile are left out. Nodes of the last release count the new datagram as unreadable and go on.

--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -10,6 +10,7 @@
 from typing import ClassVar
 
 from orioleloft_core import packing
+from orioleloft_core.contention import RouteStatistics
 from orioleloft_core.registry import StateVersion
 from orioleloft_core.updates import StateUpdate
 
@@ -232,8 +233,27 @@
     encoded_name: ClassVar[str] = "CrashSign"
 
 
+@dataclasses.dataclass(frozen=True)
+class ContentionReport:
+    """Broadcasts what the sender has observed of the contention at a service's targets.
+
+    Attributes:
+        state: state of the sender.
+        service: name of the service.
+        routes: all observations of the sender, which replace those of its previous report.
+        delivery: how the datagram got to the receiver.
+    """
+
+    state: NodeState
+    service: str
+    routes: tuple[RouteStatistics, ...]
+    delivery: Delivery = Delivery.DIRECT
+
+
 # Datagrams that are disseminated through relays.
-Broadcast = Announcement | SharedStateUpdate | Suspicion | TargetReport | CrashReport
+Broadcast = (
+    Announcement | SharedStateUpdate | Suspicion | TargetReport | CrashReport | ContentionReport
+)
 Datagram = Ping | PingAnswer | Introduction | Broadcast
 _CLASSES = packing.classes_of(Datagram)
 
--- a/packages/core/orioleloft_core/selection.py
+++ b/packages/core/orioleloft_core/selection.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from orioleloft_core.contention import EXPLORATION_SHARE, ContentionCurves
 from orioleloft_core.observations import LoadFigures, TargetObservations
 from orioleloft_core.registry import RegisteredTarget
 
@@ -19,10 +20,8 @@
 FIRST_ROUND_PROBES = 2
 # Candidates taken from the node's own zone first; answers from other zones cost bytes.
 LOCAL_PROBES = 3
-# Share of busy slots above which requests at a target run slower by `CONTENTION_SLOWDOWN`,
-# according to the site sheets of the users.
-CONTENTION_THRESHOLD = 0.8
-CONTENTION_SLOWDOWN = 1.7
+# Slowdown by contention up to which a target is good enough to end probing.
+MAX_GOOD_CONTENTION = 1.15
 # Added to the cost of a target in another zone, as a share of the expected service time.
 CROSS_ZONE_PENALTY = 0.12
 # Added to the probe rank of a target without an idle connection: a new connection takes a round
@@ -57,6 +56,7 @@
         zone: availability zone of the node.
         observations: returns the node's observations of a target.
         is_connected: whether the node holds an idle connection to a target.
+        contention: contention curves of the services.
         rng: source of the random order among equal targets.
     """
 
@@ -65,11 +65,13 @@
         zone: str,
         observations: Callable[[RegisteredTarget], TargetObservations],
         is_connected: Callable[[RegisteredTarget], bool],
+        contention: ContentionCurves,
         rng: random.Random,
     ) -> None:
         self._zone = zone
         self._observations_of = observations
         self._is_connected = is_connected
+        self._contention = contention
         self._rng = rng
 
     def candidates(
@@ -121,21 +123,35 @@
         if observations.failures(now) > 0.3 or observations.latency_ratio(now) > 1.5:
             return False
         running = observations.running(load)
-        is_uncontended = running + 1 <= load.slots * CONTENTION_THRESHOLD or running == 0
+        curve = self._contention.of(probed.target.service)
+        is_uncontended = (
+            running == 0 or curve.slowdown(now, running + 1, load.slots) <= MAX_GOOD_CONTENTION
+        )
         return is_uncontended and load.waiting == 0 and load.pace <= 1.25
 
-    def has_free_slot(self, probed: ProbedTarget) -> bool:
+    def has_free_slot(self, now: float, probed: ProbedTarget) -> bool:
         """Whether a target can start one more request at once, without queueing it.
 
-        Requests run slower while nearly all slots are busy. For targets with many slots, filling
-        the last ones therefore lowers the throughput, and they count as not free.
+        If requests run slower while more slots are busy, filling the last ones may lower the
+        throughput. They count as not free then, but for a small share of requests while it is
+        unknown how fast these would run.
+
+        Args:
+            now: seconds on the node's clock.
+            probed: the target with its load.
         """
         observations = self._observations_of(probed.target)
         load = probed.load
         slots = max(1, load.slots)
-        uncontended = max(1, int(slots * CONTENTION_THRESHOLD))
-        limit = slots if slots / CONTENTION_SLOWDOWN > uncontended else uncontended
-        return load.waiting == 0 and observations.running(load) < limit
+        busy = observations.running(load) + 1
+        if load.waiting > 0 or busy > slots:
+            return False
+        curve = self._contention.of(probed.target.service)
+        limit = curve.best_concurrency(now, slots)
+        if busy <= limit:
+            return True
+        is_explored = busy == limit + 1 and curve.is_unknown(now, busy, slots)
+        return is_explored and self._rng.random() < EXPLORATION_SHARE
 
     def cost(
         self, now: float, probed: ProbedTarget, base_service_time: float, target_latency: float
@@ -174,12 +190,15 @@
         slowdown = max(load.pace, observations.latency_ratio(now))
         if probed.is_cold:
             slowdown *= 2
-        if (running + 1) / slots > CONTENTION_THRESHOLD and slots > 1:
-            slowdown *= CONTENTION_SLOWDOWN
+        slowdown *= self._contention.of(probed.target.service).slowdown(now, running + 1, slots)
         queued = max(0, running + load.waiting + 1 - slots)
         # On average, one of the running requests ends after half a service time.
         return base_service_time * slowdown * (1 + (queued / slots if queued else 0) * 0.8)
 
+    def busy_slots(self, probed: ProbedTarget) -> int:
+        """Returns the estimated number of busy slots of a target with one more request."""
+        return self._observations_of(probed.target).running(probed.load) + 1
+
     def best(
         self,
         now: float,
--- /dev/null
+++ b/packages/node/orioleloftd/attemptrecorder.py
@@ -0,0 +1,135 @@
+"""Records what attempts show of targets: failures, speed and contention."""
+
+from collections.abc import Callable
+
+from orioleloft_core.contention import (
+    MIN_SERVICE_TIME_S,
+    ContentionCurves,
+    ServiceTimeObservation,
+)
+from orioleloft_core.observations import LoadFigures
+from orioleloft_core.registry import RegisteredTarget
+from orioleloft_core.servicetime import ServiceTimes
+from orioleloftd.requestcontext import RequestContext, SelectedTarget
+from orioleloftd.targetaccess import TargetAccess
+
+# Estimated total time of a cancelled attempt, as a multiple of the time until it was cancelled.
+CANCELLED_DURATION_FACTOR = 1.5
+# A target that takes this multiple of the expected response time is reported to other nodes as
+# slow.
+SLOW_REPORT_FACTOR = 2.5
+# Slowdown factor up to which a target is at its usual speed.
+MAX_STEADY_PACE = 1.1
+
+
+class AttemptRecorder:
+    """Updates the observations, service times and contention curves after each attempt.
+
+    Args:
+        access: observations of all targets.
+        service_times: expected service times per route.
+        contention: contention curves of the services.
+        report_target: reports a target to other nodes: target id, failures, latency ratio.
+        clock: seconds on the node's clock.
+    """
+
+    def __init__(
+        self,
+        access: TargetAccess,
+        service_times: ServiceTimes,
+        contention: ContentionCurves,
+        report_target: Callable[[str, float, float], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._access = access
+        self._service_times = service_times
+        self._contention = contention
+        self._report_target = report_target
+        self._clock = clock
+
+    def on_success(
+        self,
+        context: RequestContext,
+        selected: SelectedTarget,
+        seconds: float,
+        load: LoadFigures | None,
+    ) -> None:
+        """Records a successful attempt and its duration for the target, its service and the route.
+
+        Args:
+            context: the request.
+            selected: the target.
+            seconds: duration of the attempt.
+            load: load figures in the response, or None.
+        """
+        self._record_contention(context, selected, seconds, load)
+        route, target = context.route, selected.candidate.target
+        expected = max(0.001, selected.expected_response_time)
+        factor = seconds / expected
+        observations = self._access.observations(target)
+        observations.on_success(self._clock())
+        latency_ratio = observations.latency_ratio(self._clock())
+        observations.on_response_time(self._clock(), factor * latency_ratio)
+        service_time = self._service_times.expected(route.name, route.target_latency)
+        self._service_times.observe(route.name, route.target_latency, service_time * factor)
+        if factor >= SLOW_REPORT_FACTOR:
+            self._report_target(target.id, 0.0, factor)
+
+    def _record_contention(
+        self,
+        context: RequestContext,
+        selected: SelectedTarget,
+        seconds: float,
+        load: LoadFigures | None,
+    ) -> None:
+        """Records the duration of an attempt for the contention curve of the service.
+
+        Attempts at targets that were cold, slow or queueing tell nothing about contention. Nor do
+        those at targets that run more requests at the end: other nodes may have sent them just
+        before this one.
+        """
+        route, candidate = context.route, selected.candidate
+        service_time = self._service_times.expected(route.name, route.target_latency)
+        if load is None or candidate.is_cold or min(service_time, seconds) < MIN_SERVICE_TIME_S:
+            return
+        is_steady = max(load.pace, candidate.load.pace) <= MAX_STEADY_PACE
+        slots = candidate.load.slots
+        if not is_steady or not load.running <= selected.busy_slots <= slots:
+            return
+        now = self._clock()
+        observation = ServiceTimeObservation(
+            route.name,
+            selected.busy_slots,
+            slots,
+            seconds,
+            service_time,
+            route.target_latency,
+            self._access.observations(candidate.target).latency_ratio(now),
+        )
+        self._contention.of(candidate.target.service).observe(now, observation)
+
+    def on_cancelled(
+        self, context: RequestContext, selected: SelectedTarget, seconds: float
+    ) -> None:
+        """Records a lower bound of the duration of a cancelled attempt.
+
+        Attempts cancelled early are ignored, as they do not show that the target is slow.
+        """
+        factor = seconds / max(0.001, selected.expected_response_time)
+        if factor < SLOW_REPORT_FACTOR / 2:
+            return
+        target = selected.candidate.target
+        self._access.observations(target).on_response_time(
+            self._clock(), factor * CANCELLED_DURATION_FACTOR
+        )
+        self._report_target(target.id, 0.0, factor * CANCELLED_DURATION_FACTOR)
+
+    def on_failure(self, target: RegisteredTarget, weight: float = 1.0) -> None:
+        """Records a failed attempt and reports it to the other nodes.
+
+        Args:
+            target: the target.
+            weight: failures that it counts as.
+        """
+        self._access.observations(target).on_failure(self._clock(), weight)
+        self._report_target(target.id, weight, 0.0)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -15,6 +15,7 @@
 from orioleloft_core.looplag import LoopLagMonitor
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.messages import (
+    ContentionReport,
     CrashReport,
     Datagram,
     NodeState,
@@ -59,6 +60,10 @@
 LAG_SAMPLE_PERIOD_S = 0.25
 # Interval between sweeps that close idle connections, in seconds.
 SWEEP_PERIOD_S = 1.0
+# Interval between the reports of contention to other nodes, in seconds, and the new observations of
+# a service from which it is reported.
+CONTENTION_REPORT_PERIOD_S = 2.0
+MIN_REPORTED_OBSERVATIONS = 5
 # Maximum number of node addresses that the directory returns to callers.
 MAX_ENTRY_ADDRESSES = 64
 # Lifetime (TTL) of the node addresses that the directory returns to callers, in seconds.
@@ -118,6 +123,7 @@
         self._probe_rate_versions: tuple[object, ...] = ()
         self._cached_probe_rate = 0.0
         self._state = SharedState(self._on_state_change)
+        self._logged_limits: dict[str, dict[int, int]] = {}
         self._applied_table: RouteTable | None = None
         self._traffic_splitter = TrafficSplitter(self._rng)
         self._metrics = NodeMetrics()
@@ -240,6 +246,7 @@
         self._spawn(self._run_periodically(membership.PING_PERIOD_S, self._tick))
         self._spawn(self._sample_lag())
         self._spawn(self._run_periodically(SWEEP_PERIOD_S, self._forwarder.sweep))
+        self._spawn(self._run_periodically(CONTENTION_REPORT_PERIOD_S, self._report_contention))
 
     def _spawn(self, coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -387,7 +394,27 @@
         target = self._state.registry.get(target_id)
         if target is None:
             return lambda state: False
-        return lambda state: state.host in self._serving_hosts(target.service, state.zone)
+        return self.service_recipients(target.service)
+
+    def service_recipients(self, service: str) -> Callable[[NodeState], bool]:
+        """Returns a predicate that selects the nodes receiving requests for a service."""
+        return lambda state: state.host in self._serving_hosts(service, state.zone)
+
+    def on_contention_report(self, now: float, report: ContentionReport) -> None:
+        """Adds another node's observations to the contention curve of a known service."""
+        if report.service in self._state.registry.services:
+            self._forwarder.contention.of(report.service).on_peer_statistics(
+                now, report.state.name, report.routes
+            )
+
+    def _report_contention(self) -> None:
+        contention = self._forwarder.contention
+        for service in contention.unreported(MIN_REPORTED_OBSERVATIONS):
+            curve = contention.of(service)
+            self._peer_protocol.report_contention(service, curve.statistics(node_clock()))
+            if curve.limits and curve.limits != self._logged_limits.get(service):
+                self._logged_limits[service] = curve.limits
+                log_event(_log, "concurrency learned", service=service, limits=curve.limits)
 
     def _serving_hosts(self, service: str, zone: str) -> list[str]:
         """Returns the entry nodes that callers in a zone are given for a service."""
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -10,6 +10,7 @@
 from orioleloft_core.attempts import AttemptEnd, AttemptResult, Fail, Retry, ReturnResponse
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.callerretries import CallerRetryDetector
+from orioleloft_core.contention import ContentionCurves
 from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.memory import MemoryAccount
@@ -20,6 +21,7 @@
 from orioleloft_core.selection import ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
+from orioleloftd.attemptrecorder import AttemptRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
 from orioleloftd.logs import log_event
 from orioleloftd.requestcontext import CallerReply, CallerRequest, RequestContext, SelectedTarget
@@ -32,11 +34,6 @@
 # A hedge should start while this multiple of the service time is left of the target latency, but
 # not before this multiple of the expected response time. Service times vary by some 15 per cent.
 HEDGE_SERVICE_TIME_MARGIN = 1.15
-# Estimated total time of a cancelled attempt, as a multiple of the time until it was cancelled.
-CANCELLED_DURATION_FACTOR = 1.5
-# A target that takes this multiple of the expected response time is reported to other nodes as
-# slow.
-SLOW_REPORT_FACTOR = 2.5
 # Bounds of the random `Retry-After` of a rejected caller, in seconds. The jitter keeps callers that
 # were rejected together from retrying together.
 RETRY_AFTER_MIN_S = 0.4
@@ -99,18 +96,22 @@
         self._table = table
         self._registry = registry
         self._budget = budget
-        self._report_target = report_target
         self._report_crash = report_crash
         self._count = count
         self._clock = clock
         self._rng = rng
         self._access = TargetAccess(wire, registry, memory, count, clock)
         self._service_times = ServiceTimes()
+        self._contention = ContentionCurves()
         self._chooser = TargetChooser(
             access=self._access,
             registry=registry,
             selector=TargetSelector(
-                zone, self._access.observations, self._access.has_idle_connection, rng
+                zone,
+                self._access.observations,
+                self._access.has_idle_connection,
+                self._contention,
+                rng,
             ),
             service_times=self._service_times,
             zones=zones,
@@ -118,6 +119,9 @@
             probe_budget=probe_budget,
             clock=clock,
         )
+        self._recorder = AttemptRecorder(
+            self._access, self._service_times, self._contention, report_target, clock
+        )
         self._crashes = CrashTracker()
         self._caller_retries = CallerRetryDetector()
         self._crash_checks: set[asyncio.Task] = set()
@@ -127,6 +131,11 @@
         """Fingerprints of requests that have crashed targets."""
         return self._crashes
 
+    @property
+    def contention(self) -> ContentionCurves:
+        """Contention curves of the services."""
+        return self._contention
+
     @property
     def access(self) -> TargetAccess:
         """Connections to targets and observations of them."""
@@ -136,6 +145,7 @@
         """Drops expired connections and the state of targets that are gone; called periodically."""
         self._access.sweep()
         self._chooser.sweep()
+        self._contention.retain_only(self._registry.services)
 
     async def forward(self, request: CallerRequest, route: Route, service_name: str) -> CallerReply:
         """Forwards a request and returns a target's response or an error reply.
@@ -368,14 +378,14 @@
             if not error.was_request_sent:
                 return _EndedAttempt(AttemptResult(AttemptEnd.NOT_SENT), target)
             if error.is_oversized:
-                self._record_failure(target, OVERSIZED_RESPONSE_WEIGHT)
+                self._recorder.on_failure(target, OVERSIZED_RESPONSE_WEIGHT)
                 return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
-            self._record_failure(target)
+            self._recorder.on_failure(target)
             self._start_crash_check(context, target)
             return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
         except asyncio.CancelledError:
             selected.connection.close()
-            self._record_cancelled(context, selected, self._clock() - started_at)
+            self._recorder.on_cancelled(context, selected, self._clock() - started_at)
             raise
 
     async def _exchange(
@@ -426,59 +436,23 @@
             self._access.release(target, connection)
         if metadata.is_not_executed:
             if response.status != 503:
-                self._record_failure(target)
+                self._recorder.on_failure(target)
             return _EndedAttempt(
                 AttemptResult(AttemptEnd.REFUSED, response.status), target, response
             )
         if not metadata.has_identity_encoding or (
             response.status < 300 and not metadata.has_signature
         ):
-            self._record_failure(target)
+            self._recorder.on_failure(target)
             return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
         if response.status >= 500:
-            self._record_failure(target)
+            self._recorder.on_failure(target)
         else:
-            observations.on_success(now)
-            self._record_duration(context, selected, now - started_at)
+            self._recorder.on_success(context, selected, now - started_at, metadata.load)
         return _EndedAttempt(
             AttemptResult(AttemptEnd.ANSWERED, response.status), target, response, metadata.load
         )
 
-    def _record_duration(
-        self, context: RequestContext, selected: SelectedTarget, seconds: float
-    ) -> None:
-        """Records the duration of an attempt for the target and for the route's service time."""
-        route, target = context.route, selected.candidate.target
-        expected = max(0.001, selected.expected_response_time)
-        factor = seconds / expected
-        observations = self._access.observations(target)
-        latency_ratio = observations.latency_ratio(self._clock())
-        observations.on_response_time(self._clock(), factor * latency_ratio)
-        service_time = self._service_times.expected(route.name, route.target_latency)
-        self._service_times.observe(route.name, route.target_latency, service_time * factor)
-        if factor >= SLOW_REPORT_FACTOR:
-            self._report_target(target.id, 0.0, factor)
-
-    def _record_cancelled(
-        self, context: RequestContext, selected: SelectedTarget, seconds: float
-    ) -> None:
-        """Records a lower bound of the duration of a cancelled attempt.
-
-        Attempts cancelled early are ignored, as they do not show that the target is slow.
-        """
-        factor = seconds / max(0.001, selected.expected_response_time)
-        if factor < SLOW_REPORT_FACTOR / 2:
-            return
-        target = selected.candidate.target
-        self._access.observations(target).on_response_time(
-            self._clock(), factor * CANCELLED_DURATION_FACTOR
-        )
-        self._report_target(target.id, 0.0, factor * CANCELLED_DURATION_FACTOR)
-
-    def _record_failure(self, target: RegisteredTarget, weight: float = 1.0) -> None:
-        self._access.observations(target).on_failure(self._clock(), weight)
-        self._report_target(target.id, weight, 0.0)
-
     # Requests that crash targets.
 
     def _fingerprint(self, request: CallerRequest) -> str:
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -7,10 +7,12 @@
 from typing import Protocol
 
 from orioleloft_core import messages
+from orioleloft_core.contention import RouteStatistics
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.fleet import Fleet
 from orioleloft_core.messages import (
     Announcement,
+    ContentionReport,
     CrashReport,
     Datagram,
     Delivery,
@@ -55,9 +57,15 @@
     def on_crash_report(self, now: float, report: CrashReport) -> None:
         """Handles a report that a request has crashed a target."""
 
+    def on_contention_report(self, now: float, report: ContentionReport) -> None:
+        """Handles a report of the contention at a service's targets."""
+
     def recipients(self, target_id: str) -> Callable[[NodeState], bool]:
         """Returns a predicate that selects the nodes interested in a target's reports."""
 
+    def service_recipients(self, service: str) -> Callable[[NodeState], bool]:
+        """Returns a predicate that selects the nodes interested in a service's reports."""
+
 
 class PeerProtocol:
     """Exchanges membership, state changes and reports with the other nodes.
@@ -169,6 +177,13 @@
             self._fleet.broadcast(CrashReport(self._fleet.own_state, fingerprint, count))
         )
 
+    def report_contention(self, service: str, routes: tuple[RouteStatistics, ...]) -> None:
+        """Reports this node's observations of contention to the nodes that serve the service."""
+        report = ContentionReport(self._fleet.own_state, service, routes)
+        self._transport.send(
+            self._fleet.broadcast(report, self._report_receiver.service_recipients(service))
+        )
+
     # Periodic work and incoming datagrams.
 
     def tick(self) -> None:
@@ -201,6 +216,11 @@
                 self._transport.send(
                     self._fleet.relay(datagram, self._report_receiver.recipients(target_id))
                 )
+            case ContentionReport(service=service):
+                self._report_receiver.on_contention_report(now, datagram)
+                self._transport.send(
+                    self._fleet.relay(datagram, self._report_receiver.service_recipients(service))
+                )
             case CrashReport():
                 self._report_receiver.on_crash_report(now, datagram)
                 self._transport.send(self._fleet.relay(datagram))
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -103,8 +103,10 @@
         candidate: the target and its load.
         connection: open connection that is ready for the request.
         expected_response_time: expected time to the response, in seconds.
+        busy_slots: estimated busy slots of the target, including the one for the request.
     """
 
     candidate: ProbedTarget
     connection: Connection
     expected_response_time: float
+    busy_slots: int
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -236,8 +236,9 @@
             self._access.release(candidate.target, connection)
             return None
         expected_response_time = self._selector.expected_response_time(now, candidate, service_time)
+        busy_slots = self._selector.busy_slots(candidate)
         self._access.observations(candidate.target).on_selected()
-        return SelectedTarget(candidate, connection, expected_response_time)
+        return SelectedTarget(candidate, connection, expected_response_time, busy_slots)
 
     def hand_over_slot(self, service: str, candidate: ProbedTarget, connection: Connection) -> None:
         """Hands a target with a free slot to the head of the queue, without another probe.
@@ -246,7 +247,7 @@
         """
         queue = self._queues.get(service)
         waiter = queue.head if queue else None
-        is_free = self._selector.has_free_slot(candidate) and connection.is_usable
+        is_free = self._selector.has_free_slot(self._clock(), candidate) and connection.is_usable
         if waiter is None or not is_free or not self._registry.is_eligible(candidate.target):
             self._access.release(candidate.target, connection)
             return
@@ -342,7 +343,7 @@
             for candidate, connection in responsive.items()
             if connection.is_usable
             and self._registry.is_eligible(candidate.target)
-            and self._selector.has_free_slot(candidate)
+            and self._selector.has_free_slot(now, candidate)
             and self._is_response_acceptable(
                 context, candidate, now, service_time, accepts_late_response
             )
@@ -352,10 +353,11 @@
         if best is None:
             return None
         expected_response_time = self._selector.expected_response_time(now, best, service_time)
+        busy_slots = self._selector.busy_slots(best)
         self._access.observations(best.target).on_selected()
         if best.is_cold:
             self._slow_start_limiter.on_sent(now, best.target.id)
-        return SelectedTarget(best, responsive.pop(best), expected_response_time)
+        return SelectedTarget(best, responsive.pop(best), expected_response_time, busy_slots)
 
     def _is_response_in_time(
         self, context: RequestContext, candidate: ProbedTarget, now: float, service_time: float
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -57,6 +57,7 @@
         ["DownClaim", STATE, [["n2", 4]], True, 2],
         ["TargetSign", STATE, "t1", 1.0, 2.5, 0],
         ["CrashSign", STATE, "ab12", 2, 0],
+        ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
     )
     def test_datagrams(self, values):
         """Guards against a renamed class, which nodes of the last release could not decode."""
@@ -111,6 +112,7 @@
                 "DownClaim": messages.Suspicion,
                 "TargetSign": messages.TargetReport,
                 "CrashSign": messages.CrashReport,
+                "ContentionReport": messages.ContentionReport,
             },
         )
 
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -5,6 +5,7 @@
 
 from nose2.tools import params
 
+from orioleloft_core.contention import ContentionCurves, ServiceTimeObservation
 from orioleloft_core.observations import LoadFigures, TargetObservations
 from orioleloft_core.registry import RegisteredTarget
 from orioleloft_core.selection import (
@@ -27,8 +28,13 @@
     def setUp(self):
         self.observations = {}
         self.connected = set()
+        self.contention = ContentionCurves()
         self.selector = TargetSelector(
-            "za", self.observations_of, lambda target: target.id in self.connected, random.Random(3)
+            "za",
+            self.observations_of,
+            lambda target: target.id in self.connected,
+            self.contention,
+            random.Random(3),
         )
 
     def observations_of(self, target):
@@ -50,7 +56,42 @@
     )
     def test_free_slot(self, case, figures, is_free):
         """Guards against queues at targets: with a cold zone, a burst made all answers late."""
-        self.assertEqual(self.selector.has_free_slot(self.probed("a", **figures)), is_free, case)
+        self.assertEqual(
+            self.selector.has_free_slot(0.0, self.probed("a", **figures)), is_free, case
+        )
+
+    @params(
+        ("contention from half of the slots", 0.5, 2.5, 3),
+        ("no contention", 1.0, 1.0, 6),
+        ("contention as assumed", 0.8, 1.7, 4),
+    )
+    def test_free_slot_by_learned_contention(self, case, threshold, slowdown, limit):
+        """Guards against targets filled by an assumed contention curve.
+
+        On cheville-dakar scale-1 with contention from half of the slots, a fourth request slowed
+        each target to fewer answers a second than three.
+        """
+        rng = random.Random(4)
+        for step in range(900):
+            busy = rng.randint(1, 6)
+            ratio = slowdown if busy / 6 > threshold else 1.0
+            seconds = 0.2 * ratio * rng.uniform(0.7, 1.4)
+            observation = ServiceTimeObservation("r", busy, 6, seconds, 0.2, 0.5)
+            self.contention.of("s").observe(step * 0.01, observation)
+        free = [
+            self.selector.has_free_slot(9.5, self.probed("a", running=running))
+            for running in range(7)
+        ]
+        self.assertEqual(free, [running < limit for running in range(7)], case)
+
+    def test_exploration_of_unknown_contention(self):
+        """Guards against a limit that is never tried, and against a flood of requests above it."""
+        probed = self.probed("a", running=4)
+        found = [self.selector.has_free_slot(0.0, probed) for _ in range(4000)]
+        self.assertTrue(20 <= sum(found) <= 200)
+        for running in (5, 6):
+            beyond = self.probed("a", running=running)
+            self.assertFalse(any(self.selector.has_free_slot(0.0, beyond) for _ in range(500)))
 
     @params((0, 3), (2, 1), (3, 0))
     def test_outage_of_targets_in_own_zone(self, failed, local):
