Finish a release note that was cut off half way by publishing it again

Cause: a publish that ended between the table and the zones, or before the audit entry, could not be repeated: its items were in force, so it was refused, and its zones were never written. Names of notes, which name objects, were not checked. Change: a note is recorded as pending before its first write and until the audit trail has it. Table (compared with what the note states), zones, audit entry and the end of the pending record follow, each without effect if it was made before. A note that edits an item of an earlier pending one is refused, names it and says what to do; a refused note is not pending. orioleloft pending lists them. Ruled out: undoing the part that was written, which would revert an accepted table. The note is in force once the table is written, as before. Node code is unchanged.

--- a/packages/command/orioleloft/helptexts.py
+++ b/packages/command/orioleloft/helptexts.py
@@ -53,6 +53,14 @@
         "orioleloft --settings orioleloft.ini audit",
         "One line a note: time in Unix milliseconds, operator, note, version and changes.",
     ),
+    Subcommand(
+        "pending",
+        "",
+        "lists the release notes that were begun and not finished",
+        "orioleloft --settings orioleloft.ini pending",
+        "One line a note: begin in Unix milliseconds, operator, note, author and changes.\n"
+        "Publish such a note again to finish it.",
+    ),
     Subcommand(
         "help",
         "[SUBCOMMAND]",
--- a/packages/command/orioleloft/main.py
+++ b/packages/command/orioleloft/main.py
@@ -86,6 +86,9 @@
         case ["audit"]:
             entries = await _open_store(read_settings(settings_path)).read_audit()
             return [_format_audit_entry(entry) for entry in entries]
+        case ["pending"]:
+            pending = await _open_store(read_settings(settings_path)).read_pending()
+            return [_format_pending(each) for each in pending] or ["no pending notes"]
         case ["help"]:
             return [helptexts.general_help()]
         case ["help", name] if helptexts.subcommand_help(name):
@@ -130,6 +133,13 @@
     )
 
 
+def _format_pending(pending: publishing.PendingNote) -> str:
+    return (
+        f"{pending.time_ms} {pending.operator} {pending.note} by {pending.author}:"
+        f" {', '.join(pending.edits)}"
+    )
+
+
 def main(argv: Sequence[str]) -> int:
     """Runs the command, prints its output or the error, and returns the exit code.
 
--- a/packages/command/orioleloft/publishing.py
+++ b/packages/command/orioleloft/publishing.py
@@ -1,4 +1,9 @@
-"""Publishing of release notes with optimistic concurrency control and an audit trail."""
+"""Publishing of release notes with optimistic concurrency control and an audit trail.
+
+A note changes several objects of the store, and its operator may be cut off between any two writes.
+It is therefore recorded as pending first and until the audit trail has it. Each further step has no
+effect if it was made before, so that publishing the same note again finishes it from any point.
+"""
 
 import dataclasses
 import time
@@ -53,6 +58,29 @@
     edits: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class PendingNote:
+    """Record of a note whose publication has begun and may not have finished.
+
+    Attributes:
+        note: name of the note; there is one pending note of a name at most.
+        digest: digest of its text.
+        author: author of the note.
+        operator: operator who began to publish it.
+        time_ms: time of the begin in Unix milliseconds.
+        edits: see `AuditEntry`.
+        order: position among all pending notes, 0 before it is stored; earlier ones are smaller.
+    """
+
+    note: str
+    digest: str
+    author: str
+    operator: str
+    time_ms: int
+    edits: tuple[str, ...]
+    order: int = 0
+
+
 class OperatorStore(Protocol):
     """Operations of the command on the platform's store.
 
@@ -79,14 +107,23 @@
     async def read_audit(self) -> list[AuditEntry]:
         """Returns the audit trail, oldest entry first."""
 
+    async def add_pending(self, pending: PendingNote) -> bool:
+        """Records a pending note; returns False if one of this name is recorded already."""
+
+    async def read_pending(self) -> list[PendingNote]:
+        """Returns the pending notes in the order in which they were recorded."""
+
+    async def remove_pending(self, name: str) -> None:
+        """Removes a pending note; has no effect if there is none of this name."""
+
 
 async def publish(store: OperatorStore, note: ReleaseNote, operator: str) -> AuditEntry:
     """Publishes a note and records it in the audit trail.
 
-    It is safe to publish a note again: if the audit trail has it with the same digest, nothing is
-    written and its entry is returned. Notes published at the same time are both accepted, in either
-    order, if they edit different items. If another note changes an item while this note is being
-    published, this note is refused.
+    It is safe to publish a note again, also by another operator and at the same time: if the audit
+    trail has it with the same digest, nothing is written and its entry is returned; if it is
+    pending, the steps that are missing are made. Notes that edit different items may be published
+    at the same time. A note that edits an item of an earlier pending note is refused.
 
     Args:
         store: the platform's store.
@@ -101,8 +138,15 @@
     """
     earlier_entry = await _find_audit_entry(store, note)
     if earlier_entry is not None:
+        await store.remove_pending(note.name)
         return earlier_entry
-    version = await _publish_table(store, note) if note.has_table_edits else 0
+    pending = await _record_pending(store, note, operator)
+    try:
+        version = await _publish_table(store, note) if note.has_table_edits else 0
+    except ReleaseRefusedError:
+        # The table is one object, so nothing of the note is in force.
+        await store.remove_pending(note.name)
+        raise
     for edit in note.edits:
         if isinstance(edit, ZoneEdit):
             await store.set_zone_closed(edit.name, edit.is_closed)
@@ -112,13 +156,49 @@
         note.author,
         operator,
         version,
-        time.time_ns() // 1_000_000,
-        tuple(sorted(" ".join(item).strip() for item in notes.edited_items(note))),
+        _now_ms(),
+        pending.edits,
     )
     await store.append_audit(entry)
+    await store.remove_pending(note.name)
     return entry
 
 
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+async def _record_pending(store: OperatorStore, note: ReleaseNote, operator: str) -> PendingNote:
+    """Records a note as pending, unless it is, and checks that no earlier one edits its items.
+
+    Raises:
+        ReleaseRefusedError: another note has the name, or an earlier pending note overlaps.
+    """
+    edits = tuple(sorted(" ".join(item).strip() for item in notes.edited_items(note)))
+    pending = PendingNote(note.name, note.digest, note.author, operator, _now_ms(), edits)
+    await store.add_pending(pending)
+    stored = {each.note: each for each in await store.read_pending()}
+    own = stored.get(note.name)
+    if own is None:
+        # Another operator has finished the same note meanwhile.
+        return pending
+    if own.digest != note.digest:
+        raise ReleaseRefusedError(
+            f"another note named {note.name} is being published by {own.operator}.",
+            "Give this note a new name.",
+        )
+    for other in stored.values():
+        overlap = set(other.edits) & set(edits)
+        if other.order < own.order and overlap:
+            await store.remove_pending(note.name)
+            raise ReleaseRefusedError(
+                f"the note {other.note} of {other.operator} also edits {', '.join(sorted(overlap))}"
+                " and is not finished.",
+                f"Publish {other.note} again to finish it, then this note.",
+            )
+    return own
+
+
 async def _find_audit_entry(store: OperatorStore, note: ReleaseNote) -> AuditEntry | None:
     for entry in await store.read_audit():
         if entry.note != note.name:
@@ -131,9 +211,16 @@
     return None
 
 
+def _is_in_force(published: PublishedTable, note: ReleaseNote) -> bool:
+    return published.table is not None and notes.is_applied(published.table, note)
+
+
 async def _publish_table(store: OperatorStore, note: ReleaseNote) -> int:
     initial = expected = await store.read_published_table()
     for _ in range(MAX_WRITE_ATTEMPTS):
+        if _is_in_force(expected, note):
+            # An earlier attempt, or another operator who publishes the same note, has written it.
+            return expected.table.version
         table = notes.apply(expected.table, note)
         try:
             await store.write_published_table(expected, table)
@@ -144,12 +231,11 @@
             # The write may have taken effect or may still do so. Only reading the table back shows
             # whether it has.
             current = await store.read_published_table()
-            if current.table == table:
-                return table.version
-            if current.revision != expected.revision:
+            if current.revision != expected.revision and not _is_in_force(current, note):
                 raise
             expected = current
-            continue
+        if _is_in_force(expected, note):
+            return expected.table.version
         overlap = notes.changed_items(initial.table, expected.table) & notes.edited_items(note)
         if overlap:
             names = ", ".join(" ".join(item).strip() for item in sorted(overlap))
--- a/packages/core/orioleloft_core/note.py
+++ b/packages/core/orioleloft_core/note.py
@@ -201,6 +201,11 @@
         faults.append("the note contains no changes.")
     if faults:
         raise NoteError("\n".join(faults), "See docs/notes.md for the format.")
+    if not _NAME_PATTERN.fullmatch(header["name"]):
+        raise NoteError(
+            f"{header['name'][:40]!r} is not a valid name of a note.",
+            "Use letters, digits, dots, hyphens and underscores.",
+        )
     digest = hashing.fingerprint(text.replace("\r\n", "\n").encode())[:12]
     return ReleaseNote(
         header["name"], header["author"], header.get("description", ""), tuple(edits), digest
@@ -289,6 +294,39 @@
     return new
 
 
+def is_applied(table: RouteTable | None, note: ReleaseNote) -> bool:
+    """Whether a table has all that a note states, so that applying the note would change nothing.
+
+    Args:
+        table: the table in force, or None before the first one.
+        note: the note; its zone sections are ignored.
+    """
+    if table is None:
+        return False
+    items = _items_by_key(table)
+    for edit in note.edits:
+        match edit:
+            case ServiceEdit(name=name, change=change, fields=fields):
+                is_done = _has_edit(items.get(("service", name)), change, fields)
+            case RouteEdit(name=name, change=change, fields=fields):
+                is_done = _has_edit(items.get(("route", name)), change, fields)
+            case LimitsEdit(fields=fields):
+                is_done = _has_edit(table.limits, EditOperation.CHANGE, fields)
+            case _:
+                continue
+        if not is_done:
+            return False
+    return True
+
+
+def _has_edit(
+    item: object | None, change: EditOperation, fields: tuple[tuple[str, object], ...]
+) -> bool:
+    if change is EditOperation.WITHDRAW:
+        return item is None
+    return item is not None and all(getattr(item, name) == value for name, value in fields)
+
+
 def _apply_edit(items: dict, edit: ServiceEdit | RouteEdit, cls: type, kind: str) -> None:
     is_known = edit.name in items
     if is_known == (edit.change is EditOperation.ADD):
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -1,10 +1,13 @@
 """Tests of the client of the platform's store, against the stand-in of the store."""
 
+import dataclasses
 import time
 import unittest
 
 from nose2.tools import params
 
+from orioleloft.publishing import PendingNote
+from orioleloft_adapter.operatorstore import PlatformOperatorStore
 from orioleloft_adapter.store import NODES_KIND, PlatformStore
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.messages import NodeAddress, NodeList
@@ -85,3 +88,37 @@
         )
         with self.assertRaises(StoreError):
             await store.read_registered_nodes()
+
+
+class PendingNotesTest(unittest.TestCase):
+    @async_test
+    async def test_pending_notes(self):
+        """Guards against pending notes that are lost, doubled, or listed in another order."""
+        port = listen(StoreEmulator(), HOST, 0)
+        store = PlatformOperatorStore(
+            PlatformStore(Endpoint(HOST, port), HttpClient(time.monotonic))
+        )
+        late = PendingNote("a-late", "d1", "author", "op", 5, ("route r", "zone z"))
+        early = PendingNote("z-early", "d2", "author", "op", 4, ("limits",))
+        self.assertTrue(await store.add_pending(early))
+        self.assertTrue(await store.add_pending(late))
+        self.assertFalse(await store.add_pending(dataclasses.replace(late, digest="d3")))
+        found = await store.read_pending()
+        self.assertEqual([dataclasses.replace(each, order=0) for each in found], [early, late])
+        self.assertLess(found[0].order, found[1].order)
+        for _ in range(2):
+            await store.remove_pending("z-early")
+        self.assertEqual([each.note for each in await store.read_pending()], ["a-late"])
+
+    @async_test
+    async def test_repeated_zone_changes(self):
+        """Guards against an error when a note that was cut off sets its zones again."""
+        emulator = StoreEmulator()
+        platform_store = PlatformStore(
+            Endpoint(HOST, listen(emulator, HOST, 0)), HttpClient(time.monotonic)
+        )
+        store = PlatformOperatorStore(platform_store)
+        for is_closed, zones in ((True, ("zb",)), (False, ())):
+            for _ in range(2):
+                await store.set_zone_closed("zb", is_closed)
+            self.assertEqual((await platform_store.read_closed_zones()).zones, zones)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -1,6 +1,9 @@
-"""Tests of publishing: concurrent operators, lost answers, repeated notes."""
+"""Tests of publishing: concurrent operators, lost answers, repeated and interrupted notes."""
 
 import asyncio
+import contextlib
+import dataclasses
+import itertools
 import pathlib
 import unittest
 
@@ -23,6 +26,8 @@
     """In-memory store with hooks for races and lost answers.
 
     Attributes:
+        cut_at: number of the call that is cut off, 0 for none.
+        cut_when: "before" or "after" its effect.
         before_write: called once, before the next write of a table.
         lost_answer: "before" or "after" to lose the answer of the next write of a table before or
             after it takes effect, "" to lose none.
@@ -34,29 +39,72 @@
         self.zones = set()
         self.before_write = lambda: None
         self.lost_answer = ""
+        self.pending = {}
+        self.orders = itertools.count(1)
+        self.calls = 0
+        self.cut_at = 0
+        self.cut_when = ""
 
     async def read_published_table(self):
+        await self._count_call()
         return self.published
 
+    async def _count_call(self, effect=lambda: None):
+        """Counts a call and cuts it off, before or after its effect, if it is the chosen one."""
+        await asyncio.sleep(0)
+        self.calls += 1
+        if self.calls == self.cut_at and self.cut_when == "before":
+            raise OutcomeUnknownError("cut off")
+        result = effect()
+        if self.calls == self.cut_at:
+            raise OutcomeUnknownError("cut off")
+        return result
+
+    async def add_pending(self, pending):
+        def add():
+            if pending.note in self.pending:
+                return False
+            self.pending[pending.note] = dataclasses.replace(pending, order=next(self.orders))
+            return True
+
+        return await self._count_call(add)
+
+    async def read_pending(self):
+        await self._count_call()
+        return sorted(self.pending.values(), key=lambda each: each.order)
+
+    async def remove_pending(self, name):
+        await self._count_call(lambda: self.pending.pop(name, None))
+
     async def write_published_table(self, old, table):
         hook, self.before_write = self.before_write, lambda: None
         hook()
-        if old.revision != self.published.revision:
-            raise VersionConflictError
         lost_answer, self.lost_answer = self.lost_answer, ""
-        if lost_answer != "before":
-            self.published = PublishedTable(table, self.published.revision + 1)
+
+        def write():
+            if old.revision != self.published.revision:
+                raise VersionConflictError
+            if lost_answer != "before":
+                self.published = PublishedTable(table, self.published.revision + 1)
+
+        await self._count_call(write)
         if lost_answer:
             raise OutcomeUnknownError("no answer")
 
     async def set_zone_closed(self, zone, is_closed):
-        (self.zones.add if is_closed else self.zones.discard)(zone)
+        change = self.zones.add if is_closed else self.zones.discard
+        await self._count_call(lambda: change(zone))
 
     async def append_audit(self, entry):
-        self.audit.append(entry)
+        def append():
+            if entry.note not in [each.note for each in self.audit]:
+                self.audit.append(entry)
+
+        await self._count_call(append)
 
     async def read_audit(self):
-        return self.audit
+        await self._count_call()
+        return list(self.audit)
 
 
 class PublishingTest(unittest.TestCase):
@@ -111,3 +159,69 @@
         self.assertEqual(self.store.zones, {"zb"})
         self.assertEqual([entry.note for entry in self.store.audit], ["start", "z"])
         self.assertEqual(self.store.audit[1].edits, ("zone zb",))
+
+    NOTE_WITH_ALL_STEPS = (
+        "[note]\nname = all\nauthor = a\n[route seat-look]\nchange = change\ntimeout = 3 s\n"
+        "[service archive]\nchange = add\nhealth_path = /h\nmax_connections = 9\n"
+        "cold_per_s = 2\ncold_start = 3 s\n[zone zb]\nstate = closed\n"
+    )
+
+    @params("before", "after")
+    def test_note_that_is_cut_off(self, when):
+        """Guards against a note whose zones or audit entry can never be written.
+
+        Its items were in force after the first attempt, so publishing it again was refused.
+        """
+        note = notes.parse(self.NOTE_WITH_ALL_STEPS)
+        for step in range(1, 30):
+            self.setUp()
+            self.store.calls, self.store.cut_at, self.store.cut_when = 0, step, when
+            with contextlib.suppress(OutcomeUnknownError):
+                self.publish(note)
+            is_past_last_call = self.store.calls < step
+            self.store.cut_at = 0
+            entry = asyncio.run(publishing.publish(self.store, note, "second operator"))
+            self.assertEqual((entry.version, self.store.published.table.version), (2, 2), step)
+            self.assertEqual(self.store.zones, {"zb"}, step)
+            self.assertEqual([each.note for each in self.store.audit], ["start", "all"], step)
+            self.assertEqual(self.store.pending, {}, step)
+            if is_past_last_call:
+                return
+        self.fail("the note takes more calls than were cut off")
+
+    def test_note_that_overlaps_a_pending_one(self):
+        """Guards against a note that is undone when an earlier one is finished after it."""
+        first = make_note("first", "seat-look", "3 s")
+        self.store.calls, self.store.cut_at, self.store.cut_when = 0, 3, "after"
+        with self.assertRaises(OutcomeUnknownError):
+            self.publish(first)
+        self.store.cut_at = 0
+        with self.assertRaises(ReleaseRefusedError) as raised:
+            self.publish(make_note("second", "seat-look", "4 s"))
+        self.assertIn("first", str(raised.exception))
+        self.assertEqual(list(self.store.pending), ["first"])
+        self.publish(make_note("other", "seat-hold"))
+        self.publish(first)
+        self.publish(make_note("second", "seat-look", "4 s"))
+        route = self.store.published.table.route("lookups.example", "/api/1")
+        self.assertEqual((route.timeout, self.store.published.table.version), (4.0, 4))
+        self.assertEqual(self.store.pending, {})
+
+    def test_two_operators_finish_a_note(self):
+        """Guards against a second version, or two audit entries, if both finish it at once."""
+        note = notes.parse(self.NOTE_WITH_ALL_STEPS)
+
+        async def publish_twice():
+            return await asyncio.gather(
+                *[publishing.publish(self.store, note, name) for name in ("op1", "op2")]
+            )
+
+        self.assertEqual([entry.version for entry in asyncio.run(publish_twice())], [2, 2])
+        self.assertEqual([each.note for each in self.store.audit], ["start", "all"])
+        self.assertEqual((self.store.zones, self.store.pending), ({"zb"}, {}))
+
+    def test_refused_note_is_not_pending(self):
+        """Guards against a note that is refused and blocks all others that edit its items."""
+        with self.assertRaises(ReleaseRefusedError):
+            self.publish(make_note("x", "nothing"))
+        self.assertEqual(self.store.pending, {})
