Count the answers in the nodes' logs by cause and by second

orioleloft account LOG... joins the lines of each request: answered, hedged or retried, refused and why, failed and by whom; a table of causes, and seconds with refusals and failures as bars.

--- a/packages/command/orioleloft/helptexts.py
+++ b/packages/command/orioleloft/helptexts.py
@@ -61,6 +61,13 @@
         "One line a note: begin in Unix milliseconds, operator, note, author and changes.\n"
         "Publish such a note again to finish it.",
     ),
+    Subcommand(
+        "account",
+        "LOG...",
+        "counts the answers in the nodes' logs by cause and by second",
+        "orioleloft account node-1.log node-2.log",
+        "Needs no settings and no store. The bars show refused and failed requests.",
+    ),
     Subcommand(
         "help",
         "[SUBCOMMAND]",
--- a/packages/command/orioleloft/main.py
+++ b/packages/command/orioleloft/main.py
@@ -6,11 +6,11 @@
 import importlib
 import pathlib
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from absl import app, flags
 
-from orioleloft import helptexts, publishing
+from orioleloft import account, helptexts, publishing
 from orioleloft_core import note as notes
 from orioleloft_core.entrysettings import Endpoint, parse_endpoint
 from orioleloft_core.errors import NoteError, OrioleloftError, SettingsError
@@ -89,6 +89,8 @@
         case ["pending"]:
             pending = await _open_store(read_settings(settings_path)).read_pending()
             return [_format_pending(each) for each in pending] or ["no pending notes"]
+        case ["account", first, *others]:
+            return account.format_text(account.build(_read_logs([first, *others])))
         case ["help"]:
             return [helptexts.general_help()]
         case ["help", name] if helptexts.subcommand_help(name):
@@ -102,6 +104,17 @@
     return importlib.import_module(settings.adapter).operator_store(settings.store)
 
 
+def _read_logs(paths: Sequence[str]) -> Iterator[str]:
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                yield from file
+        except OSError as error:
+            raise SettingsError(
+                f"{path} cannot be read: {error}.", "Give the paths of log files."
+            ) from error
+
+
 def _read_note(path: str) -> ReleaseNote:
     try:
         return notes.parse(pathlib.Path(path).read_text(encoding="utf-8"))
