--- a/packages/core/orioleloft_core/callerretries.py
+++ b/packages/core/orioleloft_core/callerretries.py
@@ -7,8 +7,8 @@
 """
 
 # A request with a smaller share than this of the longest timeout seen for its route is a retry.
-# Callers of the users state 0.83 to 1.0 of their route's time at the first attempt, and retry after
-# 0.4 s or more.
+# Callers state nearly the whole time of their route at the first attempt, and retry after 0.4 s or
+# more.
 MAX_RETRY_TIMEOUT_FRACTION = 0.8
 # Time after which the longest timeout of a route is replaced by the next one seen, in seconds.
 LONGEST_TIMEOUT_TTL_S = 10.0
--- a/packages/core/orioleloft_core/placement.py
+++ b/packages/core/orioleloft_core/placement.py
@@ -9,8 +9,8 @@
 # Entry nodes of a zone that its callers get for one service, not counting busy nodes. Few nodes
 # receive enough requests each to keep connections open and to detect slow targets. A slot that one
 # of them frees goes to the request that has waited longest there, so under overload three queues
-# lose fewer requests than six. One VM answers some 150 requests a second, and a zone of the users'
-# sites sends up to 200 in a burst; if one node is lost, two remain.
+# lose fewer requests than six. One VM answers some 150 requests a second, and a zone
+# sends up to 200 in a burst; if one node is lost, two remain.
 RECEIVERS_PER_ZONE = 3
 
 
--- a/packages/core/orioleloft_core/selection.py
+++ b/packages/core/orioleloft_core/selection.py
@@ -13,8 +13,7 @@
 from orioleloft_core.observations import LoadFigures, TargetObservations
 from orioleloft_core.registry import RegisteredTarget
 
-# Candidates probed before a dispatch. On the users' bench, callers got 0.97 of the benefit of a
-# quiet day with 5 probes, and 0.91 with 3.
+# Candidates probed before a dispatch. Of fewer, all may be full or in a slow phase at once.
 MAX_PROBES = 5
 # Candidates probed in the first round; the others follow if none of these is good enough.
 FIRST_ROUND_PROBES = 2
