--- a/packages/command/orioleloft/publishing.py
+++ b/packages/command/orioleloft/publishing.py
@@ -211,16 +211,11 @@
     return None
 
 
-def _is_in_force(published: PublishedTable, note: ReleaseNote) -> bool:
-    return published.table is not None and notes.is_applied(published.table, note)
-
-
 async def _publish_table(store: OperatorStore, note: ReleaseNote) -> int:
     initial = expected = await store.read_published_table()
+    if notes.is_applied(expected.table, note):
+        return expected.table.version
     for _ in range(MAX_WRITE_ATTEMPTS):
-        if _is_in_force(expected, note):
-            # An earlier attempt, or another operator who publishes the same note, has written it.
-            return expected.table.version
         table = notes.apply(expected.table, note)
         try:
             await store.write_published_table(expected, table)
@@ -231,10 +226,11 @@
             # The write may have taken effect or may still do so. Only reading the table back shows
             # whether it has.
             current = await store.read_published_table()
-            if current.revision != expected.revision and not _is_in_force(current, note):
+            if current.revision != expected.revision and not notes.is_applied(current.table, note):
                 raise
             expected = current
-        if _is_in_force(expected, note):
+        if notes.is_applied(expected.table, note):
+            # The lost write, or another operator who publishes the same note, has made the change.
             return expected.table.version
         overlap = notes.changed_items(initial.table, expected.table) & notes.edited_items(note)
         if overlap:
