Log and count the rate limits that targets state, and what is sent to such targets

Server-Limit is decoded into RateLimit, NoRateLimit or MalformedRateLimit (negative, signed, exponent, nan, inf, repeated, over 18 characters or over a million). Events 'rate limit stated', 'absent' and 'malformed'; counters rate_limits_stated and rate_limited_target_requests by target and kind. No decision depends on it yet.

--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -15,6 +15,7 @@
 from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.observations import OVERSIZED_RESPONSE_WEIGHT, LoadFigures
+from orioleloft_core.ratelimits import AnswerKind
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
 from orioleloft_core.routes import Route, RouteTable
@@ -405,6 +406,7 @@
             request.headers, target.id, context.deadline - started_at, request.body
         )
         observations.in_flight += 1
+        self._access.rate_limits.on_sent(target, "attempt")
         try:
             response = await connection.exchange(
                 request.method,
@@ -422,6 +424,8 @@
         now = self._clock()
         metadata = self._wire.parse_response(response.status, response.headers)
         connection.set_idle_timeout(metadata.idle_timeout)
+        kind = AnswerKind.REFUSAL if metadata.is_not_executed else AnswerKind.RESPONSE
+        self._access.rate_limits.on_answer(target, metadata.rate_limit, kind)
         if not selected.candidate.is_cold and not metadata.is_not_executed:
             reported = metadata.load
             if reported is not None:
--- a/packages/node/orioleloftd/targetaccess.py
+++ b/packages/node/orioleloftd/targetaccess.py
@@ -12,6 +12,7 @@
     LoadFigures,
     TargetObservations,
 )
+from orioleloft_core.ratelimits import AnswerKind
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
 from orioleloft_core.routes import RoutedService
 from orioleloft_core.selection import ProbedTarget
@@ -24,6 +25,7 @@
     connect,
 )
 from orioleloftd.logs import log_event
+from orioleloftd.ratelimitrecorder import RateLimitRecorder
 from orioleloftd.wire import WireFormat
 
 # Timeout of a probe, in seconds; a probe that times out counts as a failure of the target.
@@ -54,6 +56,9 @@
         memory: account that is charged for response bodies.
         count: increments a metric.
         clock: seconds on the node's clock.
+
+    Attributes:
+        rate_limits: rate limits that the targets state.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self._observations: dict[tuple[str, int], TargetObservations] = {}
         self._memory = memory
         self._accept_delays = AcceptDelays()
+        self.rate_limits = RateLimitRecorder(count)
         self._pool = ConnectionPool(clock, lambda: count("target_connections"), memory)
 
     def observations(self, target: RegisteredTarget) -> TargetObservations:
@@ -102,6 +108,7 @@
             if key in known or observations.in_flight > 0
         }
         self._pool.sweep(lambda key: key in known)
+        self.rate_limits.retain_only(known)
 
     async def probe(
         self, target: RegisteredTarget, service: RoutedService
@@ -121,6 +128,7 @@
                 connection = await self._acquire(target)
                 connected_at = self._clock()
                 is_new = connection.is_unused
+                self.rate_limits.on_sent(target, "probe")
                 response = await connection.exchange(
                     "GET",
                     service.health_path,
@@ -151,6 +159,7 @@
         load = self.record_load(target, metadata.load, accept_delay)
         if metadata.target_id == target.id:
             observations.on_cold(now, metadata.cold_seconds)
+            self.rate_limits.on_answer(target, metadata.rate_limit, AnswerKind.PROBE)
         if metadata.target_id != target.id or metadata.is_not_executed or response.status != 200:
             log_event(
                 _log,
--- a/packages/node/orioleloftd/wire.py
+++ b/packages/node/orioleloftd/wire.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 
 from orioleloft_core.observations import LoadFigures
+from orioleloft_core.ratelimits import RateLimitStatement
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +38,7 @@
         cold_seconds: remaining time of the target's cold start, in seconds; 0 if it is warm.
         has_identity_encoding: whether the body has no content encoding, as requested.
         idle_timeout: time after which the target closes an idle connection, in seconds, or None.
+        rate_limit: what the response states on the target's rate limit.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     cold_seconds: float
     has_identity_encoding: bool
     idle_timeout: float | None
+    rate_limit: RateLimitStatement
 
 
 class WireFormat(Protocol):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -15,6 +15,7 @@
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.errors import SettingsError
 from orioleloft_core.observations import LoadFigures
+from orioleloft_core.ratelimits import MalformedRateLimit, NoRateLimit, RateLimit
 from orioleloft_core.routes import RouteKind, WeightedService
 
 SETTINGS_FILE = """node=front-1
@@ -279,6 +280,33 @@
         headers = httputil.HTTPHeaders({"Keep-Alive": text})
         self.assertEqual(self.wire_format.parse_response(200, headers).idle_timeout, seconds)
 
+    @params(
+        (None, NoRateLimit()),
+        ("1.6", RateLimit(1.6)),
+        (" 12 ", RateLimit(12.0)),
+        ("0", RateLimit(0.0)),
+        (".5", RateLimit(0.5)),
+        ("", MalformedRateLimit("")),
+        ("-1", MalformedRateLimit("-1")),
+        ("+1", MalformedRateLimit("+1")),
+        ("1e3", MalformedRateLimit("1e3")),
+        ("nan", MalformedRateLimit("nan")),
+        ("inf", MalformedRateLimit("inf")),
+        ("1.5,3", MalformedRateLimit("1.5,3")),
+        ("\u00b2", MalformedRateLimit("\u00b2")),
+        ("1000001", MalformedRateLimit("1000001")),
+        ("1" * 30, MalformedRateLimit("1" * 18)),
+    )
+    def test_rate_limit_header(self, text, statement):
+        """Guards against limits that are taken from malformed, repeated or very long headers."""
+        headers = httputil.HTTPHeaders({} if text is None else {"Server-Limit": text})
+        self.assertEqual(PlatformHeaders().parse_response(200, headers).rate_limit, statement)
+
+    def test_rate_limit_of_another_target(self):
+        """Guards against the limit of the target that now answers at a reassigned address."""
+        headers = httputil.HTTPHeaders({"Server-Limit": "1"})
+        self.assertEqual(PlatformHeaders().parse_response(421, headers).rate_limit, NoRateLimit())
+
     @params(("1500", 1.5), ("²", 0.0), ("9" * 5000, 0.0))
     def test_cold_header(self, text, seconds):
         """Guards against a target that stays cold for ever, or ends the request that it answers."""
