--- /dev/null
+++ b/tests/support/memorytargets.py
@@ -0,0 +1,266 @@
+"""Targets in memory, and forwarders of several nodes that send requests to them without sockets."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest import mock
+
+from tornado import httputil
+
+from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_core.budget import TokenBucket
+from orioleloft_core.memory import MemoryAccount
+from orioleloft_core.registry import RegisteredTarget, StateVersion, TargetList, TargetRegistry
+from orioleloft_core.retrybudget import RetryBudget
+from orioleloft_core.routes import (
+    DEFAULT_LIMITS,
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteTable,
+    WeightedService,
+)
+from orioleloft_core.slowstart import SlowStartLimiter
+from orioleloftd.connections import HttpResponse
+from orioleloftd.forwarding import Forwarder
+from orioleloftd.requestcontext import CallerReply, CallerRequest
+
+SERVICE = RoutedService("s", "/health", 100, 2.1, 3.0)
+ROUTE = Route("r", "a", "/", RouteKind.IDEMPOTENT, 3.0, 0.4, 1, 2, (WeightedService("s", 1.0),))
+# One-way delay between a node and a target, in seconds.
+NETWORK_DELAY_S = 0.001
+SWEEP_PERIOD_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request or probe that reached a target.
+
+    Attributes:
+        at: virtual time in seconds.
+        node: sender.
+        is_probe: whether it was a probe.
+        told_at: when the target had first stated its limit to the sender, or None.
+    """
+
+    at: float
+    node: str
+    is_probe: bool
+    told_at: float | None
+
+
+class MemoryTarget:
+    """A target with slots and a service time that can state a rate limit.
+
+    Args:
+        registration: how it is registered.
+        work_s: mean service time, in seconds.
+        seed: seed of its service times.
+        states_limit_on_probes: whether the answers to probes state the limit as well.
+    """
+
+    def __init__(
+        self,
+        registration: RegisteredTarget,
+        work_s: float,
+        seed: int,
+        states_limit_on_probes: bool = True,
+    ) -> None:
+        self.registration = registration
+        self.limit: str | None = None
+        self.arrivals: list[Arrival] = []
+        self.told_at: dict[str, float] = {}
+        self.running = 0
+        self._states_limit_on_probes = states_limit_on_probes
+        self._work_s = work_s
+        self._rng = random.Random(seed)
+
+    def tell_nobody(self) -> None:
+        """Ends the limit."""
+        self.limit = None
+        self.told_at.clear()
+
+    async def serve(self, node: str, path: str, headers: httputil.HTTPHeaders) -> HttpResponse:
+        """Answers a probe at once, or a request after its service time or with a refusal."""
+        is_probe = path == SERVICE.health_path
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(Arrival(now, node, is_probe, self.told_at.get(node)))
+        slots = self.registration.slots
+        answer = httputil.HTTPHeaders({"X-Server-Load": f"{self.running},0,{slots},100"})
+        if is_probe:
+            answer["X-Instance-Id"] = self.registration.id
+            return self._answer(node, 200, answer, self._states_limit_on_probes)
+        answer["X-Request-Id"] = headers["X-Request-Id"]
+        if self.running >= slots:
+            answer["X-Not-Executed"] = "1"
+            return self._answer(node, 503, answer)
+        self.running += 1
+        try:
+            await asyncio.sleep(self._work_s * self._rng.uniform(0.7, 1.3))
+        finally:
+            self.running -= 1
+        answer["X-Response-Signature"] = "s"
+        return self._answer(node, 200, answer)
+
+    def _answer(
+        self, node: str, status: int, headers: httputil.HTTPHeaders, states_limit: bool = True
+    ) -> HttpResponse:
+        if self.limit is not None and states_limit:
+            headers["Server-Limit"] = self.limit
+            self.told_at.setdefault(node, asyncio.get_running_loop().time())
+        return HttpResponse(status, headers, b"")
+
+
+class _MemoryConnection:
+    """Connection of a node to a `MemoryTarget`, with the interface of `Connection`."""
+
+    is_usable = True
+    is_unused = True
+
+    def __init__(self, node: str, target: MemoryTarget) -> None:
+        self._node = node
+        self._target = target
+        self.idle_until = 0.0
+
+    def set_idle_timeout(self, seconds: float | None) -> None:
+        """Ignores the timeout, as targets in memory close no connections."""
+
+    def start_idle(self, now: float) -> None:
+        self.idle_until = now + 4.0
+
+    def close(self) -> None:
+        self.is_usable = False
+
+    async def exchange(self, method, path, headers, body, matches_request, limits=None):
+        self.is_unused = False
+        await asyncio.sleep(NETWORK_DELAY_S)
+        response = await self._target.serve(self._node, path, headers)
+        await asyncio.sleep(NETWORK_DELAY_S)
+        return response
+
+
+class MemoryNode:
+    """A forwarder of one node and its targets.
+
+    Args:
+        name: name of the node.
+        zones: availability zones of all registered nodes.
+        targets: all targets.
+        seed: seed of its choices.
+    """
+
+    def __init__(
+        self, name: str, zones: dict[str, str], targets: list[MemoryTarget], seed: int
+    ) -> None:
+        self.name = name
+        self.memory = MemoryAccount(10_000_000)
+        registry = TargetRegistry()
+        registrations = tuple(target.registration for target in targets)
+        registry.replace_targets(TargetList(StateVersion(1, 1), registrations))
+        table = RouteTable(1, (ROUTE,), (SERVICE,), DEFAULT_LIMITS)
+        self._clock = asyncio.get_running_loop().time
+        self.forwarder = Forwarder(
+            wire=PlatformHeaders(),
+            table=lambda: table,
+            registry=registry,
+            zones=lambda: zones,
+            zone=zones[name],
+            budget=RetryBudget(0.2, 58, 10.0, lambda: 18),
+            slow_start_limiter=SlowStartLimiter(name, 1.5, 5.0),
+            probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
+            memory=self.memory,
+            report_target=lambda *_: None,
+            report_crash=lambda *_: None,
+            count=lambda *_, **__: None,
+            clock=self._clock,
+            rng=random.Random(f"{seed} {name}"),
+        )
+        self._request_count = 0
+
+    async def send(self, route: Route = ROUTE) -> CallerReply:
+        """Forwards a request as if a caller had sent it."""
+        self._request_count += 1
+        request_id = f"{self.name}-{self._request_count}"
+        headers = httputil.HTTPHeaders({"Host": "a", "X-Request-Id": request_id})
+        request = CallerRequest(request_id, "GET", "a", "/x", headers, b"", self._clock(), 3.0)
+        return await self.forwarder.forward(request, route, "s")
+
+
+class MemoryFleet:
+    """Nodes in three availability zones and their targets; a context in which they can connect.
+
+    Args:
+        node_count: number of nodes.
+        target_count: number of targets.
+        seed: seed of all choices and service times.
+        slots: slots of each target.
+        work_s: mean service time, in seconds.
+        states_limit_on_probes: see `MemoryTarget`.
+    """
+
+    def __init__(
+        self,
+        node_count: int,
+        target_count: int,
+        seed: int,
+        *,
+        slots: int = 6,
+        work_s: float = 0.15,
+        states_limit_on_probes: bool = True,
+    ) -> None:
+        self.zones = {f"n{i}": f"z{i % 3}" for i in range(node_count)}
+        registrations = [
+            RegisteredTarget(f"t{i}", "s", "m", i, f"z{i % 3}", slots, False, 1)
+            for i in range(target_count)
+        ]
+        self.targets = [
+            MemoryTarget(each, work_s, seed + i, states_limit_on_probes)
+            for i, each in enumerate(registrations)
+        ]
+        self._seed = seed
+        self.nodes: dict[str, MemoryNode] = {}
+
+    def start(self, name: str) -> None:
+        """Starts or restarts a node, which then knows nothing but the targets and the nodes."""
+        self.nodes[name] = MemoryNode(name, self.zones, self.targets, self._seed)
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Starts all nodes; connections go to the targets in memory until the context ends."""
+        for name in self.zones:
+            self.start(name)
+        with (
+            mock.patch("orioleloftd.connections.connect", self._connect),
+            mock.patch("orioleloftd.targetaccess.connect", self._connect),
+        ):
+            yield
+
+    async def _connect(self, host, port, now, timeout, memory) -> _MemoryConnection:
+        # Each node has an account of its own, which tells who connects.
+        node = next(node for node in self.nodes.values() if node.memory is memory)
+        await asyncio.sleep(2 * NETWORK_DELAY_S)
+        return _MemoryConnection(node.name, self.targets[port])
+
+    async def send_requests(self, seconds: float, per_s: float) -> list[CallerReply]:
+        """Sends requests to random nodes at random times, and returns their replies.
+
+        Args:
+            seconds: time to send for.
+            per_s: mean rate over all nodes.
+        """
+        loop = asyncio.get_running_loop()
+        rng = random.Random(self._seed)
+        tasks = []
+        end = loop.time() + seconds
+        swept_at = loop.time()
+        while loop.time() < end:
+            await asyncio.sleep(rng.expovariate(per_s))
+            if loop.time() - swept_at >= SWEEP_PERIOD_S:
+                swept_at = loop.time()
+                for node in self.nodes.values():
+                    node.forwarder.sweep()
+            name = rng.choice(list(self.nodes))
+            tasks.append(loop.create_task(self.nodes[name].send()))
+        return await asyncio.gather(*tasks)
