Hold the rate limits that targets state, over all nodes together

What callers and targets saw: a target that had stated Server-Limit: 1 got 29 requests in 4 s from nodes that it had told, where the users allow 11; on here 24 of 15 at 1.6 a second and 19 of 16 at 1.8.

Cause: no decision read the header. Every node went on probing and sending by load and latency. The same class as cold targets: a bound over the fleet that no single node can see.

Change: a limit is divided among two owners for each target, which are selected from the registered nodes as in slow start. An owner gets permits at 3/8 of the limit (the accepted 1.5 times, shared by the owners of two views of the nodes), holds one at most, and waits 2 s for the first, so restarts, partitions and changes of owners never add a second permit. All other nodes send the target nothing: no attempt, hedge, hand-over, retry or probe; the owners send without a probe. A change is reported to all nodes at once and again every 2 s while it is stated; notices are ordered by a hybrid clock, the stricter wins a tie. Lower limits apply at once; higher ones, or none, count only on answers to requests sent after the present limit was learned. A service whose targets all have limits serves what they take in order of rank and rejects the rest at once (targets-rate-limited) with returns spread over the rate of permits. A limit of 0, and owners without requests, ask with one probe or request per owner in 20 s.

Ruled out: a bucket at each node (test_permits_at_every_node_break_the_bound exceeds the bound), shares by nodes alive (grow in every partition), and a bound on attempts alone (probes reach the target as well).

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 fuzz: $(STAMP)
 	ORIOLELOFT_EXAMPLES=fresh $(PYTHON) -m nose2 --config nose2.cfg \
-		test_slowstart test_retrybudget test_registry test_updates test_numericinput test_boundaries
+		test_slowstart test_retrybudget test_registry test_updates test_numericinput test_boundaries test_ratelimits
 
 clean:
 	rm -rf $(VENV) out
--- a/packages/core/orioleloft_core/admissionqueue.py
+++ b/packages/core/orioleloft_core/admissionqueue.py
@@ -91,6 +91,15 @@
         """Whether requests of the same or a smaller rank are queued, so that a new one waits."""
         return any(request.rank <= rank for request in self._queue)
 
+    def count_ahead(self, rank: Rank) -> int:
+        """Returns how many queued requests receive a slot before a new one of this rank."""
+        return sum(request.rank <= rank for request in self._queue)
+
+    def position(self, request: QueuedRequest) -> int:
+        """Returns how many requests receive a slot before a queued one."""
+        place = request.rank, request.order
+        return sum((other.rank, other.order) < place for other in self._queue)
+
     def enqueue(
         self, now: float, rank: Rank, wait_deadline: float, handle: Any
     ) -> QueuedRequest | None:
@@ -105,7 +114,7 @@
         Returns:
             The queued request, or None if it is not admitted.
         """
-        ahead = sum(request.rank <= rank for request in self._queue)
+        ahead = self.count_ahead(rank)
         while self._dispatched_at and now - self._dispatched_at[0] >= DISPATCH_RATE_WINDOW_S:
             self._dispatched_at.popleft()
         rate = len(self._dispatched_at) / DISPATCH_RATE_WINDOW_S
--- a/packages/core/orioleloft_core/errors.py
+++ b/packages/core/orioleloft_core/errors.py
@@ -19,6 +19,7 @@
     UNKNOWN_ROUTE = "unknown-route"
     NO_CAPACITY = "no-capacity"
     DEADLINE_AFTER_START = "deadline-after-start"
+    TARGETS_RATE_LIMITED = "targets-rate-limited"
     TARGET_SHED = "target-shed"
     TARGET_UNREACHABLE = "target-unreachable"
     TARGET_BROKE_OFF = "target-broke-off"
@@ -57,6 +58,7 @@
         404, _NOT_RUN, "Use a host and path that a release note has added."
     ),
     ErrorCode.NO_CAPACITY: ErrorResponse(503, _NOT_RUN, _RETRY_AFTER),
+    ErrorCode.TARGETS_RATE_LIMITED: ErrorResponse(503, _NOT_RUN, _RETRY_AFTER),
     ErrorCode.DEADLINE_AFTER_START: ErrorResponse(504, _UNKNOWN, _CHECK_RESULT),
     ErrorCode.TARGET_SHED: ErrorResponse(503, _NOT_RUN, _RETRY_AFTER),
     ErrorCode.TARGET_UNREACHABLE: ErrorResponse(503, _NOT_RUN, _RETRY_AFTER),
--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -11,6 +11,7 @@
 
 from orioleloft_core import packing
 from orioleloft_core.contention import RouteStatistics
+from orioleloft_core.ratelimits import RateLimitNotice
 from orioleloft_core.registry import StateVersion
 from orioleloft_core.updates import StateUpdate
 
@@ -250,9 +251,30 @@
     delivery: Delivery = Delivery.DIRECT
 
 
+@dataclasses.dataclass(frozen=True)
+class RateLimitReport:
+    """Broadcasts the rate limit that a target states, or its end.
+
+    Attributes:
+        state: state of the sender.
+        notice: the limit.
+        delivery: how the datagram got to the receiver.
+    """
+
+    state: NodeState
+    notice: RateLimitNotice
+    delivery: Delivery = Delivery.DIRECT
+
+
 # Datagrams that are disseminated through relays.
 Broadcast = (
-    Announcement | SharedStateUpdate | Suspicion | TargetReport | CrashReport | ContentionReport
+    Announcement
+    | SharedStateUpdate
+    | Suspicion
+    | TargetReport
+    | CrashReport
+    | ContentionReport
+    | RateLimitReport
 )
 Datagram = Ping | PingAnswer | Introduction | Broadcast
 _CLASSES = packing.classes_of(Datagram)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -19,10 +19,12 @@
     CrashReport,
     Datagram,
     NodeState,
+    RateLimitReport,
     StateVersions,
     StoreAccess,
     TargetReport,
 )
+from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.retrybudget import RetryBudget
 from orioleloft_core.routes import DEFAULT_LIMITS, CallerLimits, Route, RouteTable, TrafficSplitter
 from orioleloft_core.slowstart import SlowStartLimiter
@@ -97,6 +99,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def unix_time_ms() -> int:
+    """Returns the time of day in Unix milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
 class EntryNode:
     """One entry node: owns the components and implements `Gateway` for caller connections.
 
@@ -146,18 +153,18 @@
             store, self._state, self._is_watcher, self._on_store_access, node_clock, self._rng
         )
         self._registrar = NodeRegistrar(store, self._fleet, self._store_sync, node_clock, self._rng)
+        self._rate_limits = RateLimits(settings.name, lambda: self._fleet.zones, unix_time_ms)
         self._forwarder = self._make_forwarder()
         self._caller_server = CallerServer(self, wire)
         self._shutdown = GracefulShutdown(settings.bounds.grace_period)
 
     def _initial_state(self) -> NodeState:
         settings = self._settings
-        incarnation = time.time_ns() // 1_000_000
         return NodeState(
             settings.name,
             settings.peer_endpoint.host,
             settings.zone,
-            incarnation,
+            unix_time_ms(),
             sequence=0,
             is_ready=False,
             is_leaving=False,
@@ -183,9 +190,11 @@
             slow_start_limiter=SlowStartLimiter(
                 self._settings.name, bounds.cold_rate_multiplier, bounds.extra_cold_rate
             ),
+            rate_limits=self._rate_limits,
             probe_budget=TokenBucket(self._probe_rate, lambda: self._probe_rate() * PROBE_BURST_S),
             memory=self._memory,
             report_target=self._peer_protocol.report_target,
+            report_rate_limit=self._peer_protocol.report_rate_limit,
             report_crash=self._peer_protocol.report_crash,
             count=self._metrics.count,
             clock=node_clock,
@@ -389,6 +398,10 @@
         """Merges another node's crash count for a request fingerprint."""
         self._forwarder.crashes.merge(now, report.fingerprint, report.count)
 
+    def on_rate_limit_report(self, report: RateLimitReport) -> None:
+        """Adopts another node's notice of the rate limit of a target."""
+        self._forwarder.rate_limit_recorder.on_peer_notice(report.notice, report.state.name)
+
     def recipients(self, target_id: str) -> Callable[[NodeState], bool]:
         """Returns a predicate that selects the nodes receiving requests for a target's service."""
         target = self._state.registry.get(target_id)
@@ -431,6 +444,7 @@
         )
 
     def _serve_metrics(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
+        self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
 
     def entry_hosts(self, zone: str, service_host: str) -> list[str]:
--- a/packages/node/orioleloftd/exposition.py
+++ b/packages/node/orioleloftd/exposition.py
@@ -42,6 +42,7 @@
 
     def __init__(self) -> None:
         self._counters: dict[str, dict[_Labels, float]] = {}
+        self._gauges: dict[str, float] = {}
         self._latencies: dict[_Labels, _Histogram] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
@@ -56,6 +57,10 @@
         key = tuple(labels.items())
         series[key] = series.get(key, 0.0) + amount
 
+    def set_gauge(self, name: str, value: float) -> None:
+        """Sets a gauge; `name` is the metric name without the common prefix."""
+        self._gauges[name] = value
+
     def observe(self, route: str, status: int, seconds: float) -> None:
         """Records the latency of an answered request in the histogram of its route and status."""
         key = (("route", route), ("status", str(status)))
@@ -72,6 +77,8 @@
             for key, value in series.items():
                 family.add_metric([value_text for _, value_text in key], value)
             yield family
+        for name, value in self._gauges.items():
+            yield core.GaugeMetricFamily(f"orioleloft_{name}", name.replace("_", " "), value=value)
         family = core.HistogramMetricFamily(
             LATENCY_METRIC, "Time from arrival to answer.", labels=["route", "status"]
         )
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -15,7 +15,7 @@
 from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.observations import OVERSIZED_RESPONSE_WEIGHT, LoadFigures
-from orioleloft_core.ratelimits import AnswerKind
+from orioleloft_core.ratelimits import AnswerKind, RateLimitNotice, RateLimits
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
 from orioleloft_core.routes import Route, RouteTable
@@ -25,7 +25,14 @@
 from orioleloftd.attemptrecorder import AttemptRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
 from orioleloftd.logs import log_event
-from orioleloftd.requestcontext import CallerReply, CallerRequest, RequestContext, SelectedTarget
+from orioleloftd.ratelimitrecorder import RateLimitRecorder
+from orioleloftd.requestcontext import (
+    CallerReply,
+    CallerRequest,
+    Rejection,
+    RequestContext,
+    SelectedTarget,
+)
 from orioleloftd.targetaccess import TargetAccess, result_or_none
 from orioleloftd.targetchooser import TargetChooser
 from orioleloftd.wire import WireFormat
@@ -66,9 +73,11 @@
         zone: availability zone of this node.
         budget: budget of retries and hedges.
         slow_start_limiter: rate limit for requests to cold targets.
+        rate_limits: rate limits that targets state.
         probe_budget: token bucket for the probes of this node.
         memory: account that is charged for response bodies.
         report_target: reports a target to other nodes: target id, failures, latency ratio.
+        report_rate_limit: reports the rate limit of a target to other nodes.
         report_crash: reports a crash to other nodes: request fingerprint, count.
         count: increments a metric.
         clock: seconds on the node's clock.
@@ -85,9 +94,11 @@
         zone: str,
         budget: RetryBudget,
         slow_start_limiter: SlowStartLimiter,
+        rate_limits: RateLimits,
         probe_budget: TokenBucket,
         memory: MemoryAccount,
         report_target: Callable[[str, float, float], None],
+        report_rate_limit: Callable[[RateLimitNotice], None],
         report_crash: Callable[[str, int], None],
         count: Callable[..., None],
         clock: Callable[[], float],
@@ -101,7 +112,8 @@
         self._count = count
         self._clock = clock
         self._rng = rng
-        self._access = TargetAccess(wire, registry, memory, count, clock)
+        self._rate_limit_recorder = RateLimitRecorder(rate_limits, report_rate_limit, count, clock)
+        self._access = TargetAccess(wire, registry, memory, count, clock, self._rate_limit_recorder)
         self._service_times = ServiceTimes()
         self._contention = ContentionCurves()
         self._chooser = TargetChooser(
@@ -117,8 +129,10 @@
             service_times=self._service_times,
             zones=zones,
             slow_start_limiter=slow_start_limiter,
+            rate_limits=rate_limits,
             probe_budget=probe_budget,
             clock=clock,
+            rng=rng,
         )
         self._recorder = AttemptRecorder(
             self._access, self._service_times, self._contention, report_target, clock
@@ -137,6 +151,11 @@
         """Contention curves of the services."""
         return self._contention
 
+    @property
+    def rate_limit_recorder(self) -> RateLimitRecorder:
+        """Records the rate limits that targets state and that other nodes report."""
+        return self._rate_limit_recorder
+
     @property
     def access(self) -> TargetAccess:
         """Connections to targets and observations of them."""
@@ -145,7 +164,8 @@
     def sweep(self) -> None:
         """Drops expired connections and the state of targets that are gone; called periodically."""
         self._access.sweep()
-        self._chooser.sweep()
+        table = self._table()
+        self._chooser.sweep(table.services if table else ())
         self._contention.retain_only(self._registry.services)
 
     async def forward(self, request: CallerRequest, route: Route, service_name: str) -> CallerReply:
@@ -236,8 +256,10 @@
         if context.attempt_count and self._budget.available(self._clock(), service) < 1:
             return self._error(request, ErrorCode.NO_CAPACITY, "the retry budget is exhausted")
         selected = await self._chooser.acquire_target(context)
-        if selected is None:
-            return self._error(request, ErrorCode.NO_CAPACITY, "no target can take the request")
+        if isinstance(selected, Rejection):
+            return self.error_reply(
+                request.id, selected.code, selected.reason, selected.retry_after
+            )
         if not context.attempt_count:
             self._budget.deposit(self._clock(), service)
         elif not self._budget.take(self._clock(), service):
@@ -355,11 +377,20 @@
     def _error(self, request: CallerRequest, code: ErrorCode, message: str) -> CallerReply:
         return self.error_reply(request.id, code, message)
 
-    def error_reply(self, request_id: str, code: ErrorCode, message: str) -> CallerReply:
-        """Builds an error reply, with a random `Retry-After` for status 429 and 503."""
+    def error_reply(
+        self, request_id: str, code: ErrorCode, message: str, retry_after: float | None = None
+    ) -> CallerReply:
+        """Builds an error reply.
+
+        Args:
+            request_id: id of the caller's request.
+            code: code of the error.
+            message: description of the error.
+            retry_after: time after which the caller should retry, in seconds. None stands for a
+                random time if the code has status 429 or 503.
+        """
         status = ERROR_RESPONSES[code].status
-        retry_after = None
-        if status in (429, 503):
+        if retry_after is None and status in (429, 503):
             retry_after = self._rng.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
         headers = self._wire.local_reply_headers(request_id, retry_after)
         return CallerReply(status, headers, b"", code, message, retry_after)
@@ -406,7 +437,7 @@
             request.headers, target.id, context.deadline - started_at, request.body
         )
         observations.in_flight += 1
-        self._access.rate_limits.on_sent(target, "attempt")
+        self._rate_limit_recorder.on_sent(target, "attempt")
         try:
             response = await connection.exchange(
                 request.method,
@@ -425,7 +456,7 @@
         metadata = self._wire.parse_response(response.status, response.headers)
         connection.set_idle_timeout(metadata.idle_timeout)
         kind = AnswerKind.REFUSAL if metadata.is_not_executed else AnswerKind.RESPONSE
-        self._access.rate_limits.on_answer(target, metadata.rate_limit, kind)
+        self._rate_limit_recorder.on_answer(target, metadata.rate_limit, kind, started_at)
         if not selected.candidate.is_cold and not metadata.is_not_executed:
             reported = metadata.load
             if reported is not None:
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -20,10 +20,12 @@
     OutgoingDatagram,
     Ping,
     PingAnswer,
+    RateLimitReport,
     SharedStateUpdate,
     StateVersions,
     TargetReport,
 )
+from orioleloft_core.ratelimits import RateLimitNotice
 from orioleloftd.connections import ExchangeError
 from orioleloftd.logs import log_event
 from orioleloftd.peering import DatagramEndpoint, StateExchange
@@ -60,6 +62,9 @@
     def on_contention_report(self, now: float, report: ContentionReport) -> None:
         """Handles a report of the contention at a service's targets."""
 
+    def on_rate_limit_report(self, report: RateLimitReport) -> None:
+        """Handles a report of the rate limit of a target."""
+
     def recipients(self, target_id: str) -> Callable[[NodeState], bool]:
         """Returns a predicate that selects the nodes interested in a target's reports."""
 
@@ -184,6 +189,10 @@
             self._fleet.broadcast(report, self._report_receiver.service_recipients(service))
         )
 
+    def report_rate_limit(self, notice: RateLimitNotice) -> None:
+        """Reports the rate limit of a target to all nodes, as callers may send to any of them."""
+        self._transport.send(self._fleet.broadcast(RateLimitReport(self._fleet.own_state, notice)))
+
     # Periodic work and incoming datagrams.
 
     def tick(self) -> None:
@@ -224,6 +233,9 @@
             case CrashReport():
                 self._report_receiver.on_crash_report(now, datagram)
                 self._transport.send(self._fleet.relay(datagram))
+            case RateLimitReport():
+                self._report_receiver.on_rate_limit_report(datagram)
+                self._transport.send(self._fleet.relay(datagram))
             case SharedStateUpdate():
                 self._on_state_update(datagram)
             case Ping(state=state) | PingAnswer(state=state):
--- a/packages/node/orioleloftd/ratelimitrecorder.py
+++ b/packages/node/orioleloftd/ratelimitrecorder.py
@@ -1,4 +1,4 @@
-"""Records the rate limits that targets state, and what this node sends to such targets."""
+"""Records the rate limits that targets state, reports them to other nodes and logs them."""
 
 import logging
 from collections.abc import Callable, Iterable
@@ -6,8 +6,9 @@
 from orioleloft_core.ratelimits import (
     AnswerKind,
     MalformedRateLimit,
-    NoRateLimit,
     RateLimit,
+    RateLimitNotice,
+    RateLimits,
     RateLimitStatement,
 )
 from orioleloft_core.registry import RegisteredTarget
@@ -17,44 +18,79 @@
 
 
 class RateLimitRecorder:
-    """Logs and counts rate limits in the answers of targets.
+    """Updates the rate limits after each answer of a target and after reports of other nodes.
 
     Args:
+        limits: rate limits of all targets.
+        report: reports a limit to the other nodes.
         count: increments a metric.
+        clock: seconds on the node's clock.
     """
 
-    def __init__(self, count: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        limits: RateLimits,
+        report: Callable[[RateLimitNotice], None],
+        count: Callable[..., None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._limits = limits
+        self._report = report
         self._count = count
-        self._stated: dict[tuple[str, int], RateLimitStatement] = {}
+        self._clock = clock
+        self._malformed: dict[tuple[str, int], str] = {}
+
+    def is_limited(self, target: RegisteredTarget) -> bool:
+        """Whether requests and probes to a target need a permit."""
+        return self._limits.is_limited(target)
 
     def on_sent(self, target: RegisteredTarget, kind: str) -> None:
-        """Counts a probe or an attempt at a target that has stated a limit."""
-        if isinstance(self._last(target), RateLimit):
+        """Counts a probe or an attempt at a target with a limit."""
+        if self._limits.is_limited(target):
             self._count("rate_limited_target_requests", target=target.id, kind=kind)
 
     def on_answer(
-        self, target: RegisteredTarget, statement: RateLimitStatement, kind: AnswerKind
+        self,
+        target: RegisteredTarget,
+        statement: RateLimitStatement,
+        kind: AnswerKind,
+        sent_at: float,
     ) -> None:
-        """Logs what an answer states if it differs from the previous answer of the target."""
-        last = self._last(target)
+        """Adopts what an answer states and reports a change; see `RateLimits.observe`."""
         match statement:
             case MalformedRateLimit(text=text):
                 self._count("rate_limits_stated", outcome="malformed")
-                if statement != last:
-                    log_event(_log, "rate limit malformed", target=target.id, text=text)
-            case RateLimit(requests_per_s=rate):
+                self._log_malformed(target, text)
+            case RateLimit():
                 self._count("rate_limits_stated", outcome="valid")
-                if statement != last:
-                    log_event(_log, "rate limit stated", target=target.id, per_s=rate, kind=kind)
-            case NoRateLimit():
-                if statement != last:
-                    log_event(_log, "rate limit absent", target=target.id, kind=kind)
-        self._stated[target.id, target.started_ms] = statement
+        before = self._limits.get(target)
+        notice = self._limits.observe(self._clock(), target, statement, kind, sent_at)
+        after = self._limits.get(target)
+        if after != before:
+            _log_change(target.id, after, kind)
+        if notice is not None:
+            self._report(notice)
+
+    def on_peer_notice(self, notice: RateLimitNotice, peer: str) -> None:
+        """Adopts the notice of another node, whose name is `peer`."""
+        if self._limits.merge(self._clock(), notice):
+            _log_change(notice.target_id, notice.requests_per_s, peer)
 
-    def _last(self, target: RegisteredTarget) -> RateLimitStatement:
-        return self._stated.get((target.id, target.started_ms), NoRateLimit())
+    def _log_malformed(self, target: RegisteredTarget, text: str) -> None:
+        key = target.id, target.started_ms
+        if self._malformed.get(key) != text:
+            self._malformed[key] = text
+            log_event(_log, "rate limit malformed", target=target.id, text=text)
 
     def retain_only(self, known: Iterable[tuple[str, int]]) -> None:
-        """Removes the statements of all targets except the known ones, by id and start."""
+        """Removes the state of all target processes except the known ones, by id and start."""
         kept = set(known)
-        self._stated = {key: stated for key, stated in self._stated.items() if key in kept}
+        self._limits.retain_only(kept)
+        self._malformed = {key: text for key, text in self._malformed.items() if key in kept}
+
+
+def _log_change(target_id: str, limit: float | None, source: str) -> None:
+    if limit is None:
+        log_event(_log, "rate limit ended", target=target_id, source=source)
+    else:
+        log_event(_log, "rate limit in force", target=target_id, per_s=limit, source=source)
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -95,6 +95,21 @@
         return Rank(self.route.priority, self.is_caller_retry)
 
 
+@dataclasses.dataclass(frozen=True)
+class Rejection:
+    """Why no target can take a request.
+
+    Attributes:
+        code: error code of the reply.
+        reason: description of the error.
+        retry_after: time after which the caller should retry, in seconds, or None for the default.
+    """
+
+    code: ErrorCode
+    reason: str
+    retry_after: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, eq=False)
 class SelectedTarget:
     """A target that can start the request at once.
--- a/packages/node/orioleloftd/targetaccess.py
+++ b/packages/node/orioleloftd/targetaccess.py
@@ -28,6 +28,9 @@
 from orioleloftd.ratelimitrecorder import RateLimitRecorder
 from orioleloftd.wire import WireFormat
 
+# Time to wait for a connection or for probe responses before a request goes elsewhere, in seconds.
+# A probe takes up to 6 ms at the target and a round trip between zones 2 ms.
+PROBE_WAIT_S = 0.016
 # Timeout of a probe, in seconds; a probe that times out counts as a failure of the target.
 PROBE_TIMEOUT_S = 1.0
 
@@ -56,9 +59,7 @@
         memory: account that is charged for response bodies.
         count: increments a metric.
         clock: seconds on the node's clock.
-
-    Attributes:
-        rate_limits: rate limits that the targets state.
+        rate_limits: records the rate limits that the targets state.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         memory: MemoryAccount,
         count: Callable[..., None],
         clock: Callable[[], float],
+        rate_limits: RateLimitRecorder,
     ) -> None:
         self._wire = wire
         self._registry = registry
@@ -76,7 +78,7 @@
         self._observations: dict[tuple[str, int], TargetObservations] = {}
         self._memory = memory
         self._accept_delays = AcceptDelays()
-        self.rate_limits = RateLimitRecorder(count)
+        self._rate_limits = rate_limits
         self._pool = ConnectionPool(clock, lambda: count("target_connections"), memory)
 
     def observations(self, target: RegisteredTarget) -> TargetObservations:
@@ -108,13 +110,18 @@
             if key in known or observations.in_flight > 0
         }
         self._pool.sweep(lambda key: key in known)
-        self.rate_limits.retain_only(known)
+        self._rate_limits.retain_only(known)
 
     async def probe(
-        self, target: RegisteredTarget, service: RoutedService
+        self, target: RegisteredTarget, service: RoutedService, has_permit: bool = False
     ) -> tuple[ProbedTarget, Connection] | None:
         """Probes a target for its load and updates the observations of it.
 
+        Args:
+            target: the target.
+            service: its service.
+            has_permit: whether a permit for a target with a rate limit was used for the probe.
+
         Returns:
             Its load and a connection that is ready for a request, or None if the probe failed or
             the target accepts no requests.
@@ -128,7 +135,10 @@
                 connection = await self._acquire(target)
                 connected_at = self._clock()
                 is_new = connection.is_unused
-                self.rate_limits.on_sent(target, "probe")
+                if self._rate_limits.is_limited(target) and not has_permit:
+                    self.release(target, connection)
+                    return None
+                self._rate_limits.on_sent(target, "probe")
                 response = await connection.exchange(
                     "GET",
                     service.health_path,
@@ -159,7 +169,7 @@
         load = self.record_load(target, metadata.load, accept_delay)
         if metadata.target_id == target.id:
             observations.on_cold(now, metadata.cold_seconds)
-            self.rate_limits.on_answer(target, metadata.rate_limit, AnswerKind.PROBE)
+            self._rate_limits.on_answer(target, metadata.rate_limit, AnswerKind.PROBE, connected_at)
         if metadata.target_id != target.id or metadata.is_not_executed or response.status != 200:
             log_event(
                 _log,
@@ -236,6 +246,19 @@
             return
         self._pool.release((target.id, target.started_ms), connection)
 
+    async def open(self, target: RegisteredTarget) -> Connection | None:
+        """Opens a connection for a request without a probe, or returns None if that fails.
+
+        The connection is new, as only a probe shows whether an idle one still works.
+        """
+        try:
+            async with asyncio.timeout(PROBE_WAIT_S):
+                return await self._pool.open(target.host, target.port)
+        except (ExchangeError, TimeoutError) as error:
+            self.observations(target).on_failure(self._clock())
+            log_event(_log, "connection failed", target=target.id, reason=str(error) or "timeout")
+            return None
+
     async def is_reachable(self, target: RegisteredTarget) -> bool:
         """Opens a new connection to a target to check whether it accepts one."""
         try:
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -3,23 +3,32 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+import math
+import random
+from collections.abc import Callable, Iterable
 
+from orioleloft_core import placement
 from orioleloft_core.admissionqueue import AdmissionQueue, QueuedRequest
 from orioleloft_core.budget import TokenBucket
+from orioleloft_core.errors import ErrorCode
+from orioleloft_core.observations import LoadFigures
+from orioleloft_core.ratelimits import RateLimits, owner_rate
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
+from orioleloft_core.returnschedule import ReturnSchedule
 from orioleloft_core.routes import RoutedService
-from orioleloft_core.selection import FIRST_ROUND_PROBES, ProbedTarget, TargetSelector
+from orioleloft_core.selection import (
+    FIRST_ROUND_PROBES,
+    OUTLIER_FAILURE_SCORE,
+    ProbedTarget,
+    TargetSelector,
+)
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloftd.connections import Connection
 from orioleloftd.logs import log_event
-from orioleloftd.requestcontext import RequestContext, SelectedTarget
-from orioleloftd.targetaccess import TargetAccess
+from orioleloftd.requestcontext import Rejection, RequestContext, SelectedTarget
+from orioleloftd.targetaccess import PROBE_WAIT_S, TargetAccess
 
-# Time to wait for probe responses before the best candidate so far is selected, in seconds. A probe
-# takes up to 6 ms at the target and a round trip between zones 2 ms.
-PROBE_WAIT_S = 0.016
 # A request leaves the queue when this multiple of its expected service time is left of its target
 # latency. The margin covers requests that take longer than usual on shared machines.
 QUEUE_SERVICE_TIME_MARGIN = 1.3
@@ -33,11 +42,15 @@
 # Longest queue wait of a request that its caller retries, in seconds. Its response is late in any
 # case, and a caller that waits in vain retries later.
 MAX_CALLER_RETRY_WAIT_S = 0.4
+# Maximum number of targets with rate limits in one log line.
+MAX_LOGGED_TARGETS = 20
 # A request is not dispatched with less time than this to its deadline, in seconds.
 MIN_TIME_TO_DEADLINE_S = 0.03
 
 _log = logging.getLogger(__name__)
 
+_NO_CAPACITY = Rejection(ErrorCode.NO_CAPACITY, "no target can take the request")
+
 
 class _SlotHandover:
     """Single-item mailbox through which a queued request receives a target with a free slot."""
@@ -77,8 +90,10 @@
         service_times: expected service times per route.
         zones: returns the availability zone of each registered node, by node name.
         slow_start_limiter: rate limit for requests to cold targets.
+        rate_limits: rate limits that targets state, and the permits of this node for them.
         probe_budget: token bucket for the probes of this node.
         clock: seconds on the node's clock.
+        rng: source of the times at which rejected callers return.
     """
 
     def __init__(
@@ -90,8 +105,10 @@
         service_times: ServiceTimes,
         zones: Callable[[], dict[str, str]],
         slow_start_limiter: SlowStartLimiter,
+        rate_limits: RateLimits,
         probe_budget: TokenBucket,
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._access = access
         self._registry = registry
@@ -99,8 +116,11 @@
         self._service_times = service_times
         self._zones = zones
         self._slow_start_limiter = slow_start_limiter
+        self._rate_limits = rate_limits
         self._probe_budget = probe_budget
         self._clock = clock
+        self._rng = rng
+        self._return_schedules: dict[str, ReturnSchedule] = {}
         self._queues: dict[str, AdmissionQueue] = {}
         self._probe_tasks: set[asyncio.Task] = set()
 
@@ -108,32 +128,52 @@
         """Whether requests of a service are queued."""
         return bool(self._queues.get(service))
 
-    def sweep(self) -> None:
-        """Drops the state of targets that are no longer registered."""
+    def sweep(self, services: Iterable[RoutedService]) -> None:
+        """Drops the state of targets that are no longer registered, and spends idle permits.
+
+        Args:
+            services: the services whose targets receive requests.
+        """
         self._slow_start_limiter.retain_only(
             target.id for target in self._registry.target_list.targets
         )
+        for service in services:
+            self._probe_with_idle_permits(service)
+
+    def _probe_with_idle_permits(self, service: RoutedService) -> None:
+        """Probes the targets for which this node has had a permit and no request for some time."""
+        now = self._clock()
+        for target in self._registry.eligible_targets(service.name):
+            if self._rate_limits.is_limited(target) and self._rate_limits.is_permit_idle(
+                now, target
+            ):
+                self._rate_limits.on_sent(now, target)
+                task = self._start_probe(target, service, has_permit=True)
+                task.add_done_callback(self._access.release_late_probe)
 
-    async def acquire_target(self, context: RequestContext) -> SelectedTarget | None:
+    async def acquire_target(self, context: RequestContext) -> SelectedTarget | Rejection:
         """Selects a target that can start the request at once, queueing it if none is free.
 
         Returns:
-            The target, to be used or to be given back by `release_unused`; None if the queue is too
-            long or no target became free in time.
+            The target, to be used or to be given back by `release_unused`, or why there is none:
+            the queue is too long, no target became free in time, or none gets a permit in time.
         """
         queue = self._queues.setdefault(context.service.name, AdmissionQueue())
         selected = None
         if not queue.must_queue(context.rank):
-            selected = await self.probe_candidates(context)
+            selected = await self._select_target(context)
         now = self._clock()
         if selected is not None:
             queue.on_unqueued_dispatch(now)
             return selected
         wait_deadline = now + self._max_wait(context, now)
+        ahead = queue.count_ahead(context.rank)
+        if not self._is_permit_due(context, ahead, now, wait_deadline):
+            return self._reject_without_permit(context, queue, now, now)
         waiter = queue.enqueue(now, context.rank, wait_deadline, _SlotHandover())
         if waiter is None:
             self._log_no_target(context, queue, now, "the queue is too long")
-            return None
+            return _NO_CAPACITY
         try:
             selected = await self._wait_in_queue(context, queue, waiter)
         finally:
@@ -141,12 +181,60 @@
             unused_slot = waiter.handle.take()
             if unused_slot is not None:
                 self.hand_over_slot(context.service.name, *unused_slot)
-        if selected is None:
-            self._log_no_target(context, queue, now, "no target became free in time")
-        else:
+        if isinstance(selected, SelectedTarget):
             queue.on_queued_dispatch(self._clock(), context.rank)
         return selected
 
+    def _is_permit_due(
+        self, context: RequestContext, ahead: int, now: float, wait_deadline: float
+    ) -> bool:
+        """Whether a request can get a target without a rate limit, or a permit until its deadline.
+
+        Args:
+            context: the request.
+            ahead: queued requests that use the permits before it.
+            now: seconds on the node's clock.
+            wait_deadline: end of its wait, in seconds on the node's clock.
+        """
+        targets = self._untried_targets(context)
+        if not targets or not all(map(self._rate_limits.is_limited, targets)):
+            return True
+        rate = self._rate_limits.permit_rate(now, targets)
+        return rate > 0 and now + self._time_to_permit(now, targets) + ahead / rate <= wait_deadline
+
+    def _untried_targets(self, context: RequestContext) -> list[RegisteredTarget]:
+        return [
+            target
+            for target in self._registry.eligible_targets(context.service.name)
+            if target.id not in context.tried_target_ids
+        ]
+
+    def _time_to_permit(self, now: float, targets: list[RegisteredTarget]) -> float:
+        """Returns the seconds until this node gets its next permit for any of the targets."""
+        times = [self._rate_limits.time_to_permit(now, target) for target in targets]
+        return min((time for time in times if time is not None), default=math.inf)
+
+    def _reject_without_permit(
+        self, context: RequestContext, queue: AdmissionQueue, now: float, since: float
+    ) -> Rejection:
+        """Rejects a request that gets no permit in time, and says when its caller should return."""
+        reason = "all targets have rate limits"
+        self._log_no_target(context, queue, since, reason)
+        targets = self._untried_targets(context)
+        rate = self._rate_limits.permit_rate(now, targets)
+        earliest = self._time_to_permit(now, targets)
+        if not rate:
+            # Other nodes own these targets, and the caller may return to one of them.
+            nodes = placement.receiver_count(self._zones())
+            limits = [self._rate_limits.get(target) for target in targets]
+            rate = sum(map(owner_rate, limits)) / max(1, nodes)
+            earliest = 0.0
+        schedule = self._return_schedules.setdefault(
+            context.service.name, ReturnSchedule(self._rng)
+        )
+        delay = schedule.next_delay(now, rate, earliest)
+        return Rejection(ErrorCode.TARGETS_RATE_LIMITED, reason, delay)
+
     def _log_no_target(
         self, context: RequestContext, queue: AdmissionQueue, since: float, reason: str
     ) -> None:
@@ -161,9 +249,15 @@
             asked=context.probe_count,
             offers={candidate.target.id: candidate.load for candidate in context.candidates},
             cold=[candidate.target.id for candidate in context.candidates if candidate.is_cold],
+            limited=self._limited_target_ids(context.service.name),
             targets=self._registry.target_list.version.revision,
         )
 
+    def _limited_target_ids(self, service: str) -> list[str]:
+        targets = self._registry.eligible_targets(service)
+        limited = [target.id for target in targets if self._rate_limits.is_limited(target)]
+        return limited[:MAX_LOGGED_TARGETS]
+
     def _max_wait(self, context: RequestContext, now: float) -> float:
         """Returns the longest useful time in the queue, in seconds."""
         service_time = self._service_times.expected(
@@ -182,22 +276,24 @@
 
     async def _wait_in_queue(
         self, context: RequestContext, queue: AdmissionQueue, waiter: QueuedRequest
-    ) -> SelectedTarget | None:
+    ) -> SelectedTarget | Rejection:
         """Waits until another request hands over a target, and probes while at the queue's head.
 
         Returns:
-            The target, or None at the end of the wait.
+            The target, or the rejection at the end of the wait, or as soon as all targets have
+            rate limits and no permit is due before it.
         """
+        since = self._clock()
         while True:
             remaining = waiter.wait_deadline - self._clock()
             if remaining <= 0:
                 # While others are queued, a slot spent on a late response delays theirs as well.
-                is_only_waiter = len(queue) == 1
-                return (
-                    await self.probe_candidates(context, accepts_late_response=True)
-                    if is_only_waiter
-                    else None
-                )
+                selected = None
+                if len(queue) == 1:
+                    selected = await self.probe_candidates(context, accepts_late_response=True)
+                if selected is None:
+                    self._log_no_target(context, queue, since, "no target became free in time")
+                return selected or _NO_CAPACITY
             await waiter.handle.wait(min(remaining, queue.reprobe_interval))
             slot = waiter.handle.take()
             selected = None
@@ -206,11 +302,14 @@
                 if selected is None:
                     queue.requeue(waiter)
             elif queue.head is waiter:
-                selected = await self.probe_candidates(context)
+                selected = await self._select_target(context)
                 if selected is None:
                     queue.on_no_free_target()
             if selected is not None:
                 return selected
+            now = self._clock()
+            if not self._is_permit_due(context, queue.position(waiter), now, waiter.wait_deadline):
+                return self._reject_without_permit(context, queue, now, since)
 
     def _accept_handover(
         self, context: RequestContext, candidate: ProbedTarget, connection: Connection
@@ -227,6 +326,7 @@
         is_eligible = (
             candidate.target.id not in context.tried_target_ids
             and self._registry.is_eligible(candidate.target)
+            and not self._rate_limits.is_limited(candidate.target)
         )
         if not (
             is_eligible
@@ -235,10 +335,7 @@
         ):
             self._access.release(candidate.target, connection)
             return None
-        expected_response_time = self._selector.expected_response_time(now, candidate, service_time)
-        busy_slots = self._selector.busy_slots(candidate)
-        self._access.observations(candidate.target).on_selected()
-        return SelectedTarget(candidate, connection, expected_response_time, busy_slots)
+        return self._take(now, candidate, connection, service_time)
 
     def hand_over_slot(self, service: str, candidate: ProbedTarget, connection: Connection) -> None:
         """Hands a target with a free slot to the head of the queue, without another probe.
@@ -248,17 +345,77 @@
         queue = self._queues.get(service)
         waiter = queue.head if queue else None
         is_free = self._selector.has_free_slot(self._clock(), candidate) and connection.is_usable
-        if waiter is None or not is_free or not self._registry.is_eligible(candidate.target):
+        is_eligible = self._registry.is_eligible(
+            candidate.target
+        ) and not self._rate_limits.is_limited(candidate.target)
+        if waiter is None or not is_free or not is_eligible:
             self._access.release(candidate.target, connection)
             return
         queue.dequeue(waiter)
         waiter.handle.put(candidate, connection)
 
+    async def _select_target(self, context: RequestContext) -> SelectedTarget | None:
+        """Selects a target for which this node holds a permit, or else one without a rate limit.
+
+        Retries take a target without a limit first, as others use the permits as well.
+        """
+        if context.attempt_count:
+            return await self.probe_candidates(context) or await self._use_permit(context)
+        return await self._use_permit(context) or await self.probe_candidates(context)
+
+    async def _use_permit(self, context: RequestContext) -> SelectedTarget | None:
+        """Uses a permit of this node for a target with a rate limit, without a probe.
+
+        A probe would count against the limit as well. The permit is used even if no request is
+        sent in the end, so that the limit holds in any case.
+        """
+        now = self._clock()
+        service_time = self._service_times.expected(
+            context.route.name, context.route.target_latency
+        )
+        candidates = [
+            candidate
+            for candidate in self._limited_candidates(now, context)
+            if self._is_response_in_time(context, candidate, now, service_time)
+        ]
+        best = self._selector.best(now, candidates, service_time, context.route.target_latency)
+        if best is None:
+            return None
+        self._rate_limits.on_sent(now, best.target)
+        connection = await self._access.open(best.target)
+        if connection is None:
+            return None
+        now = self._clock()
+        if (
+            not self._registry.is_eligible(best.target)
+            or context.deadline - now < MIN_TIME_TO_DEADLINE_S
+        ):
+            self._access.release(best.target, connection)
+            return None
+        return self._take(now, best, connection, service_time)
+
+    def _limited_candidates(self, now: float, context: RequestContext) -> Iterable[ProbedTarget]:
+        """Yields the targets for which this node holds a permit, with their estimated load."""
+        for target in self._untried_targets(context):
+            if (
+                not self._rate_limits.is_limited(target)
+                or not self._rate_limits.may_send(now, target)
+                or not self._is_probe_allowed(now, context, target)
+            ):
+                continue
+            observations = self._access.observations(target)
+            if observations.failures(now) < OUTLIER_FAILURE_SCORE:
+                pace = 1.0 + observations.reported_excess_pace(now)
+                load = LoadFigures(observations.in_flight, 0, target.slots, pace)
+                yield ProbedTarget(target, load, observations.is_cold(now))
+
     async def probe_candidates(
         self, context: RequestContext, accepts_late_response: bool = False
     ) -> SelectedTarget | None:
         """Probes candidates and returns the best one that can start the request at once, or None.
 
+        Targets with rate limits are neither probed nor selected.
+
         Args:
             context: the request.
             accepts_late_response: whether to accept a target that will respond after the target
@@ -267,8 +424,8 @@
         now = self._clock()
         eligible_targets = [
             target
-            for target in self._registry.eligible_targets(context.service.name)
-            if target.id not in context.tried_target_ids
+            for target in self._untried_targets(context)
+            if not self._rate_limits.is_limited(target)
             and self._is_probe_allowed(now, context, target)
         ]
         ranked = self._selector.candidates(now, eligible_targets)
@@ -292,8 +449,12 @@
             for candidate, connection in responsive.items():
                 self._access.release(candidate.target, connection)
 
-    def _start_probe(self, target: RegisteredTarget, service: RoutedService) -> asyncio.Task:
-        task = asyncio.get_running_loop().create_task(self._access.probe(target, service))
+    def _start_probe(
+        self, target: RegisteredTarget, service: RoutedService, has_permit: bool = False
+    ) -> asyncio.Task:
+        task = asyncio.get_running_loop().create_task(
+            self._access.probe(target, service, has_permit)
+        )
         self._probe_tasks.add(task)
         task.add_done_callback(self._probe_tasks.discard)
         return task
@@ -343,6 +504,7 @@
             for candidate, connection in responsive.items()
             if connection.is_usable
             and self._registry.is_eligible(candidate.target)
+            and not self._rate_limits.is_limited(candidate.target)
             and self._selector.has_free_slot(now, candidate)
             and self._is_response_acceptable(
                 context, candidate, now, service_time, accepts_late_response
@@ -352,12 +514,18 @@
         best = self._selector.best(now, eligible, service_time, latency)
         if best is None:
             return None
-        expected_response_time = self._selector.expected_response_time(now, best, service_time)
-        busy_slots = self._selector.busy_slots(best)
-        self._access.observations(best.target).on_selected()
-        if best.is_cold:
-            self._slow_start_limiter.on_sent(now, best.target.id)
-        return SelectedTarget(best, responsive.pop(best), expected_response_time, busy_slots)
+        return self._take(now, best, responsive.pop(best), service_time)
+
+    def _take(
+        self, now: float, candidate: ProbedTarget, connection: Connection, service_time: float
+    ) -> SelectedTarget:
+        """Counts a request for a target that is selected for it."""
+        expected_response_time = self._selector.expected_response_time(now, candidate, service_time)
+        busy_slots = self._selector.busy_slots(candidate)
+        self._access.observations(candidate.target).on_selected()
+        if candidate.is_cold:
+            self._slow_start_limiter.on_sent(now, candidate.target.id)
+        return SelectedTarget(candidate, connection, expected_response_time, busy_slots)
 
     def _is_response_in_time(
         self, context: RequestContext, candidate: ProbedTarget, now: float, service_time: float
--- a/tests/support/memorytargets.py
+++ b/tests/support/memorytargets.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from unittest import mock
 
@@ -12,6 +12,7 @@
 from orioleloft_adapter.headers import PlatformHeaders
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.memory import MemoryAccount
+from orioleloft_core.ratelimits import RateLimitNotice, RateLimits
 from orioleloft_core.registry import RegisteredTarget, StateVersion, TargetList, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
 from orioleloft_core.routes import (
@@ -32,6 +33,8 @@
 # One-way delay between a node and a target, in seconds.
 NETWORK_DELAY_S = 0.001
 SWEEP_PERIOD_S = 1.0
+# Range of the time that a report takes to another node, in seconds.
+REPORT_DELAY_S = (0.001, 0.03)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,11 +80,6 @@
         self._work_s = work_s
         self._rng = random.Random(seed)
 
-    def tell_nobody(self) -> None:
-        """Ends the limit."""
-        self.limit = None
-        self.told_at.clear()
-
     async def serve(self, node: str, path: str, headers: httputil.HTTPHeaders) -> HttpResponse:
         """Answers a probe at once, or a request after its service time or with a refusal."""
         is_probe = path == SERVICE.health_path
@@ -149,13 +147,20 @@
         zones: availability zones of all registered nodes.
         targets: all targets.
         seed: seed of its choices.
+        report_rate_limit: sends a rate limit to the other nodes: name of this node, the limit.
     """
 
     def __init__(
-        self, name: str, zones: dict[str, str], targets: list[MemoryTarget], seed: int
+        self,
+        name: str,
+        zones: dict[str, str],
+        targets: list[MemoryTarget],
+        seed: int,
+        report_rate_limit: Callable[[str, RateLimitNotice], None],
     ) -> None:
         self.name = name
         self.memory = MemoryAccount(10_000_000)
+        self.rate_limits = RateLimits(name, lambda: zones, lambda: round(self._clock() * 1000))
         registry = TargetRegistry()
         registrations = tuple(target.registration for target in targets)
         registry.replace_targets(TargetList(StateVersion(1, 1), registrations))
@@ -169,6 +174,8 @@
             zone=zones[name],
             budget=RetryBudget(0.2, 58, 10.0, lambda: 18),
             slow_start_limiter=SlowStartLimiter(name, 1.5, 5.0),
+            rate_limits=self.rate_limits,
+            report_rate_limit=lambda notice: report_rate_limit(name, notice),
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=self.memory,
             report_target=lambda *_: None,
@@ -179,13 +186,15 @@
         )
         self._request_count = 0
 
-    async def send(self, route: Route = ROUTE) -> CallerReply:
-        """Forwards a request as if a caller had sent it."""
+    async def send(self, route: Route = ROUTE) -> tuple[CallerReply, float]:
+        """Forwards a request of a caller; returns the reply and its time in seconds."""
+        started_at = self._clock()
         self._request_count += 1
         request_id = f"{self.name}-{self._request_count}"
         headers = httputil.HTTPHeaders({"Host": "a", "X-Request-Id": request_id})
         request = CallerRequest(request_id, "GET", "a", "/x", headers, b"", self._clock(), 3.0)
-        return await self.forwarder.forward(request, route, "s")
+        reply = await self.forwarder.forward(request, route, "s")
+        return reply, self._clock() - started_at
 
 
 class MemoryFleet:
@@ -220,11 +229,23 @@
             for i, each in enumerate(registrations)
         ]
         self._seed = seed
+        self._rng = random.Random(seed)
+        self.loss = 0.0
         self.nodes: dict[str, MemoryNode] = {}
 
     def start(self, name: str) -> None:
         """Starts or restarts a node, which then knows nothing but the targets and the nodes."""
-        self.nodes[name] = MemoryNode(name, self.zones, self.targets, self._seed)
+        self.nodes[name] = MemoryNode(
+            name, self.zones, self.targets, self._seed, self._report_rate_limit
+        )
+
+    def _report_rate_limit(self, sender: str, notice: RateLimitNotice) -> None:
+        for name, node in self.nodes.items():
+            if name != sender and self._rng.random() >= self.loss:
+                delay = self._rng.uniform(*REPORT_DELAY_S)
+                asyncio.get_running_loop().call_later(
+                    delay, node.forwarder.rate_limit_recorder.on_peer_notice, notice, sender
+                )
 
     @contextmanager
     def running(self) -> Iterator[None]:
@@ -250,6 +271,22 @@
             seconds: time to send for.
             per_s: mean rate over all nodes.
         """
+        return [reply for reply, _ in await self.send_timed_requests(seconds, per_s)]
+
+    async def sweep_for(self, seconds: float) -> None:
+        """Runs the periodic work of all nodes for some time, without requests."""
+        for _ in range(round(seconds / SWEEP_PERIOD_S)):
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            self._sweep()
+
+    def _sweep(self) -> None:
+        for node in self.nodes.values():
+            node.forwarder.sweep()
+
+    async def send_timed_requests(
+        self, seconds: float, per_s: float
+    ) -> list[tuple[CallerReply, float]]:
+        """Sends requests like `send_requests`; returns the replies and their times in seconds."""
         loop = asyncio.get_running_loop()
         rng = random.Random(self._seed)
         tasks = []
@@ -259,8 +296,7 @@
             await asyncio.sleep(rng.expovariate(per_s))
             if loop.time() - swept_at >= SWEEP_PERIOD_S:
                 swept_at = loop.time()
-                for node in self.nodes.values():
-                    node.forwarder.sweep()
+                self._sweep()
             name = rng.choice(list(self.nodes))
             tasks.append(loop.create_task(self.nodes[name].send()))
         return await asyncio.gather(*tasks)
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -66,6 +66,8 @@
     ["DownClaim", STATE, [["n2", 4]], True, 2],
     ["TargetSign", STATE, "t1", 1.0, 2.5, 0],
     ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
+    ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
+    ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
 )
 
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -13,6 +13,7 @@
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.observations import OVERSIZED_RESPONSE_WEIGHT
+from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.registry import RegisteredTarget, StateVersion, TargetList, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
 from orioleloft_core.routes import (
@@ -64,6 +65,8 @@
             zones=lambda: {},
             zone="za",
             budget=RetryBudget(0.2, 58, 10.0, lambda: 3),
+            rate_limits=RateLimits("n0", dict, lambda: 1),
+            report_rate_limit=lambda notice: None,
             slow_start_limiter=SlowStartLimiter("n0", 1.5, 5.0),
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=self.memory,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -16,6 +16,7 @@
 from orioleloft_core.crashes import CRASH_LIMIT
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.memory import MemoryAccount
+from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.registry import RegisteredTarget, StateVersion, TargetList, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
 from orioleloft_core.routes import (
@@ -68,6 +69,8 @@
             zones=lambda: dict.fromkeys(nodes, "za"),
             zone="za",
             budget=RetryBudget(0.2, 58, 10.0, lambda: 3),
+            rate_limits=RateLimits("n0", dict, lambda: 1),
+            report_rate_limit=lambda notice: None,
             slow_start_limiter=SlowStartLimiter(name, 1.5, 5.0),
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=MemoryAccount(1_000_000),
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -58,6 +58,8 @@
         ["TargetSign", STATE, "t1", 1.0, 2.5, 0],
         ["CrashSign", STATE, "ab12", 2, 0],
         ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
+        ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
+        ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
     )
     def test_datagrams(self, values):
         """Guards against a renamed class, which nodes of the last release could not decode."""
@@ -113,6 +115,7 @@
                 "TargetSign": messages.TargetReport,
                 "CrashSign": messages.CrashReport,
                 "ContentionReport": messages.ContentionReport,
+                "RateLimitReport": messages.RateLimitReport,
             },
         )
 
