Take in a planned stop only what ends before the node exits, and end its connections in order

What callers saw, reported by other operators and measured on: in a planned stop, requests that came about a third into the grace period were taken and passed on, and cut with no answer as the process ended, payments among them; one to ten more per stop were reset unread at the end.

Cause: new requests were taken for a fixed half of the grace period, whatever they might take. And the process ended with its listener open and all connections in place, so whatever was in transit met a reset.

Change: a stopping node takes a request only if the shorter of the caller's and the route's timeout ends within 0.9 of the grace period; it refuses the others as not run, with a Retry-After of 0.05 to 0.2 s, as other nodes can take them at once. At 0.8 it stops to accept connections (a refused connection tells its caller that nothing was sent) and closes idle ones in one direction first; requests that have begun to arrive are answered. Requests of before the signal that are still in flight at the end get 504 deadline-after-start (outcome unknown), and not a bare close.

--- a/packages/node/orioleloftd/callerpipeline.py
+++ b/packages/node/orioleloftd/callerpipeline.py
@@ -111,6 +111,11 @@
         pending.task = loop.create_task(self._gateway.serve(pending.request))
         pending.task.add_done_callback(lambda task: self._on_reply(pending, task))
 
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is pending or has begun to arrive."""
+        if not self._pipeline and not self._is_receiving_request:
+            self._stream.close_idle()
+
     # Cancellation.
 
     def on_read_closed(self) -> None:
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -90,6 +90,14 @@
 # answers carry the same flag.
 LEAVE_ANNOUNCE_PERIOD_S = 0.2
 LEAVE_ANNOUNCE_REPEATS = 3
+# Interval in which the phases of the shutdown are checked, in seconds.
+SHUTDOWN_POLL_PERIOD_S = 0.05
+# Time for the answers to requests that are in flight when the process must exit, in seconds.
+LAST_ANSWER_S = 0.05
+# Bounds of the random `Retry-After` of a caller that is refused because this node stops, in
+# seconds.
+STOPPING_RETRY_AFTER_MIN_S = 0.05
+STOPPING_RETRY_AFTER_MAX_S = 0.2
 
 _log = logging.getLogger(__name__)
 
@@ -156,6 +164,7 @@
         self._rate_limits = RateLimits(settings.name, lambda: self._fleet.zones, unix_time_ms)
         self._forwarder = self._make_forwarder()
         self._caller_server = CallerServer(self, wire)
+        self._exit_timeouts: set[asyncio.Timeout] = set()
         self._shutdown = GracefulShutdown(settings.bounds.grace_period)
 
     def _initial_state(self) -> NodeState:
@@ -339,16 +348,30 @@
         self._spawn(self._drain())
 
     async def _drain(self) -> None:
-        repeats = LEAVE_ANNOUNCE_REPEATS
+        self._spawn(self._repeat_leave_announcement())
+        while not self._shutdown.is_draining(node_clock()):
+            await asyncio.sleep(SHUTDOWN_POLL_PERIOD_S)
+        self._caller_server.stop()
+        self._caller_server.close_idle_connections()
         while not self._shutdown.is_finished(node_clock(), self._caller_server.open_requests):
-            await asyncio.sleep(LEAVE_ANNOUNCE_PERIOD_S)
-            if repeats:
-                repeats -= 1
-                self._peer_protocol.announce()
+            await asyncio.sleep(SHUTDOWN_POLL_PERIOD_S)
+        await self._answer_open_requests()
         log_event(_log, "stopped", requests=self._caller_server.open_requests)
         self._transport.close()
         self._on_stopped()
 
+    async def _repeat_leave_announcement(self) -> None:
+        for _ in range(LEAVE_ANNOUNCE_REPEATS):
+            await asyncio.sleep(LEAVE_ANNOUNCE_PERIOD_S)
+            self._peer_protocol.announce()
+
+    async def _answer_open_requests(self) -> None:
+        """Answers the requests that are still in flight when the process must exit."""
+        for exit_timeout in self._exit_timeouts:
+            exit_timeout.reschedule(asyncio.get_running_loop().time())
+        if self._exit_timeouts:
+            await asyncio.sleep(LAST_ANSWER_S)
+
     # Shared state.
 
     def _is_watcher(self) -> bool:
@@ -498,14 +521,39 @@
         table = self._state.table
         if not self._state.is_complete:
             reply = self._error_reply(request, ErrorCode.NODE_STARTING, "no configuration is known")
-        elif self._shutdown.refuses_requests(node_clock()):
-            reply = self._error_reply(request, ErrorCode.NODE_STOPPING, "the node stops")
         else:
             route = table.route(request.host, request.path)
-            reply = await self._forward_to_route(request, route)
+            if self._shutdown.accepts(node_clock(), _time_limit(request, route)):
+                reply = await self._forward_until_exit(request, route)
+            else:
+                reply = self._refuse_while_stopping(request)
         self._record_reply(request, route.name if route else "", reply)
         return reply
 
+    def _refuse_while_stopping(self, request: CallerRequest) -> CallerReply:
+        """Refuses a request that might not end before this node exits.
+
+        The other nodes can take it, so the caller need not wait.
+        """
+        return self._forwarder.error_reply(
+            request.id,
+            ErrorCode.NODE_STOPPING,
+            "the node stops before the request must end",
+            self._rng.uniform(STOPPING_RETRY_AFTER_MIN_S, STOPPING_RETRY_AFTER_MAX_S),
+        )
+
+    async def _forward_until_exit(self, request: CallerRequest, route: Route | None) -> CallerReply:
+        """Forwards a request; if the process exits before it has ended, its outcome is unknown."""
+        try:
+            async with asyncio.timeout(None) as exit_timeout:
+                self._exit_timeouts.add(exit_timeout)
+                return await self._forward_to_route(request, route)
+        except TimeoutError:
+            text = "the node stops before the target has answered"
+            return self._error_reply(request, ErrorCode.DEADLINE_AFTER_START, text)
+        finally:
+            self._exit_timeouts.discard(exit_timeout)
+
     async def _forward_to_route(self, request: CallerRequest, route: Route | None) -> CallerReply:
         if route is None:
             text = f"no route in version {self._state.table.version}"
@@ -532,3 +580,13 @@
             reason=reply.message or None,
             retry_after=round(reply.retry_after, 2) if reply.retry_after else None,
         )
+
+
+def _time_limit(request: CallerRequest, route: Route | None) -> float:
+    """Returns the longest time that a request may still take, in seconds."""
+    if route is None:
+        return 0.0
+    timeout = route.timeout
+    if request.caller_timeout is not None:
+        timeout = min(timeout, request.caller_timeout)
+    return max(0.0, request.arrived_at + timeout - node_clock())
--- a/packages/node/orioleloftd/frontend.py
+++ b/packages/node/orioleloftd/frontend.py
@@ -66,6 +66,11 @@
         if pipeline is not None:
             pipeline.on_read_closed()
 
+    def close_idle_connections(self) -> None:
+        """Closes the connections on which no request has begun to arrive."""
+        for pipeline in list(self._pipelines.values()):
+            pipeline.close_if_idle()
+
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
         """Serves a new connection on a `CallerStream`; called by tornado."""
         caller_stream = CallerStream(stream.socket, max_buffer_size=MAX_BUFFER_BYTES)
--- a/packages/node/orioleloftd/streams.py
+++ b/packages/node/orioleloftd/streams.py
@@ -163,6 +163,21 @@
         self._is_lingering = self.has_unread_bytes or bool(self.peek())
         self.close()
 
+    def close_idle(self) -> None:
+        """Ends the connection if no byte of a request has arrived.
+
+        It is closed in one direction first, because a request that crosses the end would
+        otherwise meet a reset. Its caller reads the end of the connection instead.
+        """
+        if self.has_unread_bytes or self.peek():
+            return
+        try:
+            self._shut_down_writing()
+        except OSError:
+            super().close()
+            return
+        asyncio.get_running_loop().call_later(LINGER_S, super().close)
+
     def abort(self) -> None:
         """Closes immediately and drops a deferred refusal."""
         self._deferred_refusal = None
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,7 @@
 """Tests of an entry node on the loopback interface, with an in-memory store."""
 
 import asyncio
+import dataclasses
 import unittest
 
 from nose2.tools import params
@@ -11,8 +12,14 @@
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.messages import NodeList, StoreAccess
 from orioleloft_core.registry import ClosedZones, RegisteredTarget, StateVersion, TargetList
-from orioleloft_core.routes import DEFAULT_LIMITS, RouteTable
-from orioleloftd.entry import EntryNode, node_clock
+from orioleloft_core.routes import (
+    DEFAULT_LIMITS,
+    Route,
+    RouteKind,
+    RouteTable,
+    WeightedService,
+)
+from orioleloftd.entry import STOPPING_RETRY_AFTER_MAX_S, EntryNode, node_clock
 from orioleloftd.requestcontext import CallerRequest
 from orioleloftd.storesync import StoreError
 from standins.processes import free_ports
@@ -20,6 +27,7 @@
 
 HOST = "127.0.0.1"
 TABLE = RouteTable(3, (), (), DEFAULT_LIMITS)
+ROUTE = Route("r", "a", "/", RouteKind.IDEMPOTENT, 5.0, 1.0, 1, 1, (WeightedService("s", 1.0),))
 TARGET = RegisteredTarget("t0", "s", HOST, 9, "za", 2, False, 1)
 
 
@@ -62,7 +70,7 @@
 
 
 class EntryTest(unittest.TestCase):
-    def start(self, store, seeds=(), name="n0"):
+    def start(self, store, seeds=(), name="n0", grace_period=0.5):
         caller_endpoint, readiness_endpoint, directory_endpoint, peer_endpoint = (
             Endpoint(HOST, port) for port in free_ports(4)
         )
@@ -75,7 +83,7 @@
             peer_endpoint,
             peer_endpoint,
             seeds=seeds,
-            bounds=OperatorBounds(grace_period=0.5),
+            bounds=OperatorBounds(grace_period=grace_period),
         )
         self.stopped = asyncio.Event()
         return EntryNode(settings, PlatformHeaders(), store, self.stopped.set)
@@ -133,6 +141,45 @@
         reply = await node.serve(request)
         self.assertEqual((reply.code, reply.status), (code, status))
 
+    @params((60.0, 1.0, True), (1.0, 60.0, True), (60.0, 60.0, False), (60.0, None, False))
+    @async_test
+    async def test_request_during_a_stop(self, route_timeout, caller_timeout, is_forwarded):
+        """Guards against a request that a stopping node takes and cuts off as it exits."""
+        node = self.start(InMemoryStore(), grace_period=4.0)
+        route = dataclasses.replace(ROUTE, timeout=route_timeout)
+        node._state.on_table(dataclasses.replace(TABLE, routes=(route,)))
+        node._state.on_targets(TargetList(StateVersion(5, 1), (TARGET,)))
+        node._state.on_closed_zones(ClosedZones(StateVersion(5, 1), ()))
+        node._shutdown.begin(node_clock())
+        request = CallerRequest(
+            "r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), caller_timeout
+        )
+        reply = await node.serve(request)
+        if is_forwarded:
+            self.assertEqual(reply.code, ErrorCode.NO_CAPACITY)
+            return
+        self.assertEqual((reply.code, reply.status), (ErrorCode.NODE_STOPPING, 503))
+        self.assertLessEqual(reply.retry_after, STOPPING_RETRY_AFTER_MAX_S)
+
+    @async_test
+    async def test_request_in_flight_at_the_exit(self):
+        """Guards against a connection that ends without any answer as the process exits."""
+        node = self.start(InMemoryStore())
+        await node.start()
+        await self.wait_until_ready(node)
+        never = asyncio.Event()
+        node._forward_to_route = lambda request, route: never.wait()
+        request = CallerRequest(
+            "r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), None
+        )
+        serving = asyncio.create_task(node.serve(request))
+        await asyncio.sleep(0)
+        node._caller_server.open_requests = 1
+        node.stop()
+        await self.stopped.wait()
+        reply = await serving
+        self.assertEqual((reply.code, reply.status), (ErrorCode.DEADLINE_AFTER_START, 504))
+
     @async_test
     async def test_stop_during_bootstrap(self):
         """Guards against a node stopped during start-up that stays listed or never exits."""
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -198,3 +198,23 @@
         self.assertEqual(f"Retry-After: {retry_after}" in head.decode(), retry_after is not None)
         self.assertEqual(json.loads(body)["code"], code.value)
         self.assertTrue(json.loads(body)["remedy"])
+
+    @params((b"", b""), (b"GET /1 HT", b"hi"))
+    @async_test
+    async def test_connections_of_a_node_that_stops(self, sent_before, end):
+        """Guards against a reset of connections on which a request is due when a node stops."""
+        port = self.start()
+        self.is_stopping = True
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(sent_before)
+        while len(self.server._pipelines) < 1 or (
+            sent_before and not next(iter(self.server._pipelines.values()))._is_receiving_request
+        ):
+            await asyncio.sleep(0)
+        self.server.stop()
+        self.server.close_idle_connections()
+        writer.write(b"TP/1.1\r\nHost: a\r\n\r\n" if sent_before else b"")
+        self.assertTrue((await reader.read()).endswith(end))
+        writer.close()
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", port)
