Emulate stated rate limits, repeated refusals and answers cut in their head

The emulated targets learn all three, and the soak injects them as faults. After the recovery, one target of each service states a limit of 2 a second for 6 s under load, and the oracle counts all requests and probes from half a second on against the users' bound.

--- a/standins/oracle.py
+++ b/standins/oracle.py
@@ -7,6 +7,11 @@
 from standins.callers import NOT_EXECUTED_STATUSES, CallerAttempt
 from standins.target import Run
 
+# The users' bound on a stated rate limit: in any window, this multiple of it and some requests.
+LIMIT_WINDOW_S = 4.0
+LIMIT_MULTIPLE = 1.5
+LIMIT_SLACK = 5
+
 
 def find_violations(attempts: Iterable[CallerAttempt], runs: Iterable[Run]) -> list[str]:
     """Returns a message for each violated invariant.
@@ -65,3 +70,27 @@
         yield f"{attempt.id} got a success with the body of {document['id']}"
     if document["target"] not in {run.target for run in runs}:
         yield f"{attempt.id} got a success of {document['target']}, which did not run it"
+
+
+def find_rate_limit_violation(
+    target: str, arrived_at: Iterable[float], limit: float, since: float
+) -> list[str]:
+    """Returns a message if a target got more requests and probes than its stated limit allows.
+
+    Args:
+        target: id of the target.
+        arrived_at: when requests and probes arrived, on the system's monotonic clock, in seconds.
+        limit: the stated limit, in requests per second.
+        since: when all nodes must know it, on the same clock.
+    """
+    times = sorted(at for at in arrived_at if at >= since)
+    greatest = max(
+        (sum(start <= at <= start + LIMIT_WINDOW_S for at in times) for start in times), default=0
+    )
+    allowed = limit * LIMIT_WINDOW_S * LIMIT_MULTIPLE + LIMIT_SLACK
+    if greatest <= allowed:
+        return []
+    return [
+        f"{target} got {greatest} requests and probes in {LIMIT_WINDOW_S:g} s,"
+        f" its limit of {limit:g} a second allows {allowed:g}"
+    ]
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -24,7 +24,7 @@
 from orioleloft_core.entrysettings import Endpoint
 from orioleloftd.connections import ExchangeError, HttpClient
 from standins.callers import Caller, CallerAttempt, RequestKind, latency_table
-from standins.oracle import find_violations
+from standins.oracle import find_rate_limit_violation, find_violations
 from standins.processes import (
     HOST,
     Processes,
@@ -34,7 +34,7 @@
     write_node_settings,
 )
 from standins.proxy import LinkFault, LinkProxy
-from standins.target import BEHAVIOUR_PATH, DRAIN_PATH, Run
+from standins.target import ARRIVALS_PATH, BEHAVIOUR_PATH, DRAIN_PATH, Run
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ZONES = ("za", "zb", "zc")
@@ -57,6 +57,11 @@
 # 15 s. Runs that must not depend on the speed of the machine pass `HANG_TIMEOUT_S` instead.
 RECOVERY_TIMEOUT_S = 15.0
 HANG_TIMEOUT_S = 60.0
+# Rate limit that one target of each service states after the recovery, in requests per second; the
+# time after which the users' bound applies, and the time for which it is stated, in seconds.
+RATE_LIMIT_PER_S = 2.0
+RATE_LIMIT_KNOWN_S = 0.5
+RATE_LIMIT_CHECK_S = 6.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -277,6 +282,29 @@
                 target,
                 self._behaviour_fault_injector({"error_share": 0.6}, {"error_share": 0.0}),
             ),
+            (
+                "repeated refusals of a full target",
+                target,
+                self._behaviour_fault_injector(
+                    {"repeated_refusal_share": 0.5, "queue": 0},
+                    {"repeated_refusal_share": 0.0, "queue": 4},
+                ),
+            ),
+            (
+                "answers cut in their head",
+                target,
+                self._behaviour_fault_injector({"cut_head_share": 0.3}, {"cut_head_share": 0.0}),
+            ),
+            (
+                "rate limit",
+                target,
+                self._behaviour_fault_injector({"rate_limit": "1.5"}, {"rate_limit": ""}),
+            ),
+            (
+                "malformed rate limit",
+                target,
+                self._behaviour_fault_injector({"rate_limit": "-1"}, {"rate_limit": ""}),
+            ),
             ("store busy", "store", self._store_fault_injector("busy")),
             ("store silent", "store", self._store_fault_injector("silent")),
             ("closed zone", "za", self._close_and_reopen_zone),
@@ -430,6 +458,28 @@
         caller.close()
         return True
 
+    async def check_rate_limits(self) -> None:
+        """Lets one target of each service state a rate limit; adds exceeded limits to `failures`.
+
+        No other fault is in force, so all nodes count, whether or not they were told.
+        """
+        limited = [f"{service}-00" for service in SERVICES]
+        await asyncio.gather(
+            *[
+                self._post_to_target(name, BEHAVIOUR_PATH, {"rate_limit": str(RATE_LIMIT_PER_S)})
+                for name in limited
+            ]
+        )
+        since = time.monotonic() + RATE_LIMIT_KNOWN_S
+        await asyncio.sleep(RATE_LIMIT_CHECK_S)
+        for name in limited:
+            response = await self._client.call(
+                HOST, self._target_ports[name][0], "GET", ARRIVALS_PATH, timeout=HANG_TIMEOUT_S
+            )
+            arrived_at = json.loads(response.body)
+            self.failures += find_rate_limit_violation(name, arrived_at, RATE_LIMIT_PER_S, since)
+            await self._post_to_target(name, BEHAVIOUR_PATH, {"rate_limit": ""})
+
     async def stop_nodes(self) -> None:
         """Stops all nodes but one gracefully under load, then ends the load and stops the last one.
 
@@ -512,6 +562,7 @@
             await asyncio.sleep(1.0)
             faults = await cluster.inject_faults(seconds)
             await cluster.recover(recovery_timeout)
+            await cluster.check_rate_limits()
             await cluster.stop_nodes()
             await load
             failures = cluster.failures + find_violations(cluster.attempts, cluster.runs())
--- a/standins/target.py
+++ b/standins/target.py
@@ -2,8 +2,8 @@
 
 Each target has concurrency slots, a bounded queue, a service time with random slow requests and a
 cold start, and registers itself in the platform's store. `GET /control/record` returns the requests
-that it has started to run, `POST /control/behaviour` changes its behaviour, and any request to
-`/control/drain` makes it drain.
+that it has started to run, `GET /control/arrivals` when requests and probes arrived.
+`POST /control/behaviour` changes its behaviour, and any request to `/control/drain` makes it drain.
 """
 
 import asyncio
@@ -30,6 +30,7 @@
 MAX_DUPLICATE_DELAY_S = 0.05
 BEHAVIOUR_PATH = "/control/behaviour"
 DRAIN_PATH = "/control/drain"
+ARRIVALS_PATH = "/control/arrivals"
 
 
 @dataclasses.dataclass
@@ -54,6 +55,10 @@
         reports_load: whether answers state the load.
         late_share: share of successes that are followed by a duplicate after a delay of up to
             `MAX_DUPLICATE_DELAY_S`, when the next response on the connection may be due.
+        repeated_refusal_share: share of refusals that are written again after such a delay.
+        cut_head_share: share of successes that end within their head, with the connection.
+        rate_limit: requests per second that the target states to take from all nodes together; an
+            empty text states none.
     """
 
     slots: int = 2
@@ -68,6 +73,9 @@
     lost_share: float = 0.0
     stale_share: float = 0.0
     late_share: float = 0.0
+    repeated_refusal_share: float = 0.0
+    cut_head_share: float = 0.0
+    rate_limit: str = ""
     reports_load: bool = True
 
 
@@ -114,6 +122,7 @@
         self.runs: list[Run] = []
         self.refused_count = 0
         self.probes = 0
+        self.arrived_at: list[float] = []
         self.running = 0
         self.waiting = 0
         self.is_draining = False
@@ -148,6 +157,9 @@
             document = [dataclasses.asdict(run) for run in self.runs]
             _write_response(request, 200, {}, json.dumps(document).encode())
             return
+        if request.path == ARRIVALS_PATH:
+            _write_response(request, 200, {}, json.dumps(self.arrived_at).encode())
+            return
         if request.path == BEHAVIOUR_PATH:
             self.behaviour = dataclasses.replace(self.behaviour, **json.loads(request.body))
             _write_response(request, 200, {})
@@ -160,6 +172,7 @@
         if expected != self.name:
             _write_response(request, 421, {wire.RESPONDING_TARGET: self.name})
             return
+        self.arrived_at.append(time.monotonic())
         task = asyncio.get_running_loop().create_task(self._run_request(request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -178,9 +191,7 @@
         id_header = {wire.REQUEST_ID: request_id}
         if self.waiting >= self.behaviour.queue and self._slots.locked():
             self.refused_count += 1
-            _write_response(
-                request, 503, self._load_headers() | id_header | {wire.NOT_EXECUTED: "1"}
-            )
+            self._refuse(request, id_header)
             return
         self.waiting += 1
         try:
@@ -199,6 +210,17 @@
             self.running -= 1
             self._slots.release()
 
+    def _refuse(self, request: httputil.HTTPServerRequest, id_header: dict[str, str]) -> None:
+        headers = self._load_headers() | id_header | {wire.NOT_EXECUTED: "1"}
+        _write_response(request, 503, headers)
+        if self._rng.random() < self.behaviour.repeated_refusal_share:
+            self._write_later(request.connection.stream, _encode(503, headers))
+
+    def _write_later(self, stream: iostream.IOStream, data: bytes) -> None:
+        """Writes bytes after a random delay, when the next response may be due."""
+        delay = self._rng.random() * MAX_DUPLICATE_DELAY_S
+        asyncio.get_running_loop().call_later(delay, _write_if_open, stream, data)
+
     def _draw_service_time_s(self) -> float:
         behaviour = self.behaviour
         pace = behaviour.pace
@@ -220,22 +242,28 @@
         document = {"target": self.name, "path": request.path}
         body = json.dumps(document | {"id": id_header[wire.REQUEST_ID]}).encode()
         headers = self._load_headers() | id_header | {wire.RESPONSE_SIGNATURE: f"s{len(body)}"}
-        _write_response(request, 200, headers, body)
-        header_lines = [f"{name}: {value}" for name, value in headers.items()]
-        head = "\r\n".join(["HTTP/1.1 200 OK", *header_lines, f"Content-Length: {len(body)}"])
-        duplicate = head.encode() + b"\r\n\r\n" + body
         stream = request.connection.stream
+        if self._rng.random() < behaviour.cut_head_share:
+            head = _encode(200, headers, body).removesuffix(b"\r\n\r\n" + body)
+            _write_if_open(stream, head[: self._rng.randrange(len(head))])
+            stream.close()
+            return
+        _write_response(request, 200, headers, body)
+        duplicate = _encode(200, headers, body)
         if self._rng.random() < behaviour.stale_share:
             stream.write(duplicate)
         if self._rng.random() < behaviour.late_share:
-            delay = self._rng.random() * MAX_DUPLICATE_DELAY_S
-            asyncio.get_running_loop().call_later(delay, _write_if_open, stream, duplicate)
+            self._write_later(stream, duplicate)
 
     def _load_headers(self) -> dict[str, str]:
+        limit = self.behaviour.rate_limit
+        limit_header = {wire.RATE_LIMIT: limit} if limit else {}
         if not self.behaviour.reports_load:
-            return {}
+            return limit_header
         pace = round(self.behaviour.pace * 100)
-        return {wire.TARGET_LOAD: f"{self.running},{self.waiting},{self.behaviour.slots},{pace}"}
+        return limit_header | {
+            wire.TARGET_LOAD: f"{self.running},{self.waiting},{self.behaviour.slots},{pace}"
+        }
 
     def registration(self, service: str, host: str, port: int, zone: str, sequence: int) -> dict:
         """Returns the object by which the target registers itself in the store.
@@ -261,6 +289,12 @@
         return {"metadata": {"name": self.name}, "spec": spec}
 
 
+def _encode(status: int, headers: dict[str, str], body: bytes = b"") -> bytes:
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join([f"HTTP/1.1 {status} Answer", *lines, f"Content-Length: {len(body)}"])
+    return head.encode() + b"\r\n\r\n" + body
+
+
 def _write_if_open(stream: iostream.IOStream, data: bytes) -> None:
     if not stream.closed():
         stream.write(data)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -20,6 +20,10 @@
     return head % (request_id, len(body), extra) + body
 
 
+# The refusal of an earlier request.
+REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Id: old\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
 async def exchange(port, body=b""):
     connection = await connect("127.0.0.1", port, 0.0, 1.0, memory())
     headers = httputil.HTTPHeaders({"Host": "a", "Content-Length": str(len(body))})
@@ -81,6 +85,67 @@
         self.assertFalse(connection.is_usable)
         server.close()
 
+    @params(
+        b"HTTP/1.1 200 OK\r\nX-Id: me\r\nX-Signature: s\r\nContent-Length: 12\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Id: me\r\nTransfer-Encoding: chunked\r\nX-Signature: s\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Id: me\r\nConnection: close\r\nX-Signature: s\r\n\r\n",
+    )
+    @async_test
+    async def test_answer_that_ends_within_its_head(self, head):
+        """Guards against a success with a short body where a target closes within the head."""
+        for length in range(len(head)):
+            server = ScriptedServer(head[:length], None)
+            port = await server.listen()
+            connection = await connect("127.0.0.1", port, 0.0, 1.0, memory())
+            task = asyncio.get_running_loop().create_task(
+                connection.exchange(
+                    "POST",
+                    "/",
+                    httputil.HTTPHeaders({"Host": "a", "Content-Length": "0"}),
+                    b"",
+                    lambda *_: True,
+                )
+            )
+            while not server.requests:
+                await asyncio.sleep(0)
+            # At the second request the server ends the connection.
+            connection._stream.write(b"GET / HTTP/1.1\r\n\r\n")
+            with self.assertRaises(ExchangeError) as raised:
+                await task
+            self.assertTrue(raised.exception.was_request_sent)
+            server.close()
+
+    @params(
+        (REFUSAL + response(b"me"), (200, b"hi"), True),
+        (REFUSAL * 2 + response(b"me"), (200, b"hi"), True),
+        (response(b"me") + REFUSAL, (200, b"hi"), False),
+        (REFUSAL * 3 + response(b"me"), None, False),
+    )
+    @async_test
+    async def test_refusal_that_is_written_again(self, sent, answer, is_usable):
+        """Guards against "not run" for a request that runs, by the refusal of an earlier one."""
+        server = ScriptedServer(REFUSAL, sent)
+        port = await server.listen()
+        connection = await connect("127.0.0.1", port, 0.0, 1.0, memory())
+        headers = httputil.HTTPHeaders({"Host": "a", "Content-Length": "0"})
+        first = await connection.exchange(
+            "POST", "/", headers, b"", lambda _, headers: headers.get("X-Id") == "old"
+        )
+        self.assertEqual(first.status, 503)
+        task = connection.exchange(
+            "POST", "/", headers, b"", lambda _, headers: headers.get("X-Id") == "me"
+        )
+        if answer is None:
+            with self.assertRaises(ExchangeError) as raised:
+                await task
+            self.assertTrue(raised.exception.was_request_sent)
+        else:
+            second = await task
+            self.assertEqual((second.status, second.body), answer)
+        self.assertEqual(connection.is_usable, is_usable)
+        connection.close()
+        server.close()
+
     @params(("closed", None), ("late answer", response(b"old")))
     @async_test
     async def test_connection_that_ended_while_idle(self, name, sent):
--- a/tests/test_oracle.py
+++ b/tests/test_oracle.py
@@ -7,7 +7,7 @@
 from nose2.tools import params
 
 from standins.callers import CallerAttempt, RequestKind
-from standins.oracle import find_violations
+from standins.oracle import find_rate_limit_violation, find_violations
 from standins.target import Run
 
 LOOKUP = RequestKind("look-up", "a", "GET", "/", 0, True)
@@ -57,3 +57,14 @@
     def test_violations(self, name, caller_attempt, runs, violation_count):
         """Guards against an oracle that misses violations, so that the soak passes regardless."""
         self.assertEqual(len(find_violations([caller_attempt], runs)), violation_count, name)
+
+    @params(
+        ([10.0 + 0.1 * i for i in range(11)], 0),
+        ([10.0 + 0.1 * i for i in range(12)], 1),
+        ([5.0 + 0.1 * i for i in range(30)], 0),
+        ([10.0 + 1.0 * i for i in range(30)], 0),
+    )
+    def test_rate_limit_violations(self, arrived_at, violation_count):
+        """Guards against an oracle that misses a target with more requests than its limit."""
+        messages = find_rate_limit_violation("t", arrived_at, limit=1.0, since=9.0)
+        self.assertEqual(len(messages), violation_count)
