--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -41,6 +41,7 @@
 from orioleloftd.peerprotocol import PeerProtocol
 from orioleloftd.requestcontext import CallerReply, CallerRequest
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
+from orioleloftd.shutdown import ShutdownSequence
 from orioleloftd.storesync import Store, StoreError, StoreSync
 from orioleloftd.wire import WireFormat
 
@@ -85,15 +86,6 @@
 # decide whether it is a watcher, in seconds.
 MEMBERSHIP_DISCOVERY_S = 2.0
 READY_POLL_PERIOD_S = 0.02
-# Interval between the announcements of a node that is stopping, in seconds, and how often the first
-# one is repeated: at a packet loss of 3 in 100 all of them are lost for one node in a million. Ping
-# answers carry the same flag.
-LEAVE_ANNOUNCE_PERIOD_S = 0.2
-LEAVE_ANNOUNCE_REPEATS = 3
-# Interval in which the phases of the shutdown are checked, in seconds.
-SHUTDOWN_POLL_PERIOD_S = 0.05
-# Time for the answers to requests that are in flight when the process must exit, in seconds.
-LAST_ANSWER_S = 0.05
 # Bounds of the random `Retry-After` of a caller that is refused because this node stops, in
 # seconds.
 STOPPING_RETRY_AFTER_MIN_S = 0.05
@@ -164,8 +156,10 @@
         self._rate_limits = RateLimits(settings.name, lambda: self._fleet.zones, unix_time_ms)
         self._forwarder = self._make_forwarder()
         self._caller_server = CallerServer(self, wire)
-        self._exit_timeouts: set[asyncio.Timeout] = set()
         self._shutdown = GracefulShutdown(settings.bounds.grace_period)
+        self._shutdown_sequence = ShutdownSequence(
+            self._shutdown, self._caller_server, self._peer_protocol.announce, node_clock
+        )
 
     def _initial_state(self) -> NodeState:
         settings = self._settings
@@ -348,30 +342,11 @@
         self._spawn(self._drain())
 
     async def _drain(self) -> None:
-        self._spawn(self._repeat_leave_announcement())
-        while not self._shutdown.is_draining(node_clock()):
-            await asyncio.sleep(SHUTDOWN_POLL_PERIOD_S)
-        self._caller_server.stop()
-        self._caller_server.close_idle_connections()
-        while not self._shutdown.is_finished(node_clock(), self._caller_server.open_requests):
-            await asyncio.sleep(SHUTDOWN_POLL_PERIOD_S)
-        await self._answer_open_requests()
+        await self._shutdown_sequence.run()
         log_event(_log, "stopped", requests=self._caller_server.open_requests)
         self._transport.close()
         self._on_stopped()
 
-    async def _repeat_leave_announcement(self) -> None:
-        for _ in range(LEAVE_ANNOUNCE_REPEATS):
-            await asyncio.sleep(LEAVE_ANNOUNCE_PERIOD_S)
-            self._peer_protocol.announce()
-
-    async def _answer_open_requests(self) -> None:
-        """Answers the requests that are still in flight when the process must exit."""
-        for exit_timeout in self._exit_timeouts:
-            exit_timeout.reschedule(asyncio.get_running_loop().time())
-        if self._exit_timeouts:
-            await asyncio.sleep(LAST_ANSWER_S)
-
     # Shared state.
 
     def _is_watcher(self) -> bool:
@@ -544,15 +519,11 @@
 
     async def _forward_until_exit(self, request: CallerRequest, route: Route | None) -> CallerReply:
         """Forwards a request; if the process exits before it has ended, its outcome is unknown."""
-        try:
-            async with asyncio.timeout(None) as exit_timeout:
-                self._exit_timeouts.add(exit_timeout)
-                return await self._forward_to_route(request, route)
-        except TimeoutError:
-            text = "the node stops before the target has answered"
-            return self._error_reply(request, ErrorCode.DEADLINE_AFTER_START, text)
-        finally:
-            self._exit_timeouts.discard(exit_timeout)
+        reply = await self._shutdown_sequence.until_exit(self._forward_to_route(request, route))
+        if reply is not None:
+            return reply
+        text = "the node stops before the target has answered"
+        return self._error_reply(request, ErrorCode.DEADLINE_AFTER_START, text)
 
     async def _forward_to_route(self, request: CallerRequest, route: Route | None) -> CallerReply:
         if route is None:
--- a/packages/node/orioleloftd/targetaccess.py
+++ b/packages/node/orioleloftd/targetaccess.py
@@ -254,10 +254,13 @@
         try:
             async with asyncio.timeout(PROBE_WAIT_S):
                 return await self._pool.open(target.host, target.port)
-        except (ExchangeError, TimeoutError) as error:
+        except TimeoutError:
+            # This node may be busy, so it does not count as a failure of the target.
+            log_event(_log, "connection failed", target=target.id, reason="timeout")
+        except ExchangeError as error:
             self.observations(target).on_failure(self._clock())
-            log_event(_log, "connection failed", target=target.id, reason=str(error) or "timeout")
-            return None
+            log_event(_log, "connection failed", target=target.id, reason=str(error))
+        return None
 
     async def is_reachable(self, target: RegisteredTarget) -> bool:
         """Opens a new connection to a target to check whether it accepts one."""
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -3,25 +3,17 @@
 import asyncio
 import contextlib
 import logging
-import math
 import random
 from collections.abc import Callable, Iterable
 
-from orioleloft_core import placement
 from orioleloft_core.admissionqueue import AdmissionQueue, QueuedRequest
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.errors import ErrorCode
-from orioleloft_core.observations import LoadFigures
-from orioleloft_core.ratelimits import RateLimits, owner_rate
+from orioleloft_core.permits import PermitScheduler
+from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
-from orioleloft_core.returnschedule import ReturnSchedule
 from orioleloft_core.routes import RoutedService
-from orioleloft_core.selection import (
-    FIRST_ROUND_PROBES,
-    OUTLIER_FAILURE_SCORE,
-    ProbedTarget,
-    TargetSelector,
-)
+from orioleloft_core.selection import FIRST_ROUND_PROBES, ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloftd.connections import Connection
@@ -119,8 +111,7 @@
         self._rate_limits = rate_limits
         self._probe_budget = probe_budget
         self._clock = clock
-        self._rng = rng
-        self._return_schedules: dict[str, ReturnSchedule] = {}
+        self._permits = PermitScheduler(rate_limits, access.observations, zones, rng)
         self._queues: dict[str, AdmissionQueue] = {}
         self._probe_tasks: set[asyncio.Task] = set()
 
@@ -142,14 +133,10 @@
 
     def _probe_with_idle_permits(self, service: RoutedService) -> None:
         """Probes the targets for which this node has had a permit and no request for some time."""
-        now = self._clock()
-        for target in self._registry.eligible_targets(service.name):
-            if self._rate_limits.is_limited(target) and self._rate_limits.is_permit_idle(
-                now, target
-            ):
-                self._rate_limits.on_sent(now, target)
-                task = self._start_probe(target, service, has_permit=True)
-                task.add_done_callback(self._access.release_late_probe)
+        targets = self._registry.eligible_targets(service.name)
+        for target in self._permits.take_idle(self._clock(), targets):
+            task = self._start_probe(target, service, has_permit=True)
+            task.add_done_callback(self._access.release_late_probe)
 
     async def acquire_target(self, context: RequestContext) -> SelectedTarget | Rejection:
         """Selects a target that can start the request at once, queueing it if none is free.
@@ -168,7 +155,7 @@
             return selected
         wait_deadline = now + self._max_wait(context, now)
         ahead = queue.count_ahead(context.rank)
-        if not self._is_permit_due(context, ahead, now, wait_deadline):
+        if not self._can_wait(context, ahead, now, wait_deadline):
             return self._reject_without_permit(context, queue, now, now)
         waiter = queue.enqueue(now, context.rank, wait_deadline, _SlotHandover())
         if waiter is None:
@@ -185,22 +172,10 @@
             queue.on_queued_dispatch(self._clock(), context.rank)
         return selected
 
-    def _is_permit_due(
+    def _can_wait(
         self, context: RequestContext, ahead: int, now: float, wait_deadline: float
     ) -> bool:
-        """Whether a request can get a target without a rate limit, or a permit until its deadline.
-
-        Args:
-            context: the request.
-            ahead: queued requests that use the permits before it.
-            now: seconds on the node's clock.
-            wait_deadline: end of its wait, in seconds on the node's clock.
-        """
-        targets = self._untried_targets(context)
-        if not targets or not all(map(self._rate_limits.is_limited, targets)):
-            return True
-        rate = self._rate_limits.permit_rate(now, targets)
-        return rate > 0 and now + self._time_to_permit(now, targets) + ahead / rate <= wait_deadline
+        return self._permits.can_wait(now, self._untried_targets(context), ahead, wait_deadline)
 
     def _untried_targets(self, context: RequestContext) -> list[RegisteredTarget]:
         return [
@@ -209,11 +184,6 @@
             if target.id not in context.tried_target_ids
         ]
 
-    def _time_to_permit(self, now: float, targets: list[RegisteredTarget]) -> float:
-        """Returns the seconds until this node gets its next permit for any of the targets."""
-        times = [self._rate_limits.time_to_permit(now, target) for target in targets]
-        return min((time for time in times if time is not None), default=math.inf)
-
     def _reject_without_permit(
         self, context: RequestContext, queue: AdmissionQueue, now: float, since: float
     ) -> Rejection:
@@ -221,19 +191,8 @@
         reason = "all targets have rate limits"
         self._log_no_target(context, queue, since, reason)
         targets = self._untried_targets(context)
-        rate = self._rate_limits.permit_rate(now, targets)
-        earliest = self._time_to_permit(now, targets)
-        if not rate:
-            # Other nodes own these targets, and the caller may return to one of them.
-            nodes = placement.receiver_count(self._zones())
-            limits = [self._rate_limits.get(target) for target in targets]
-            rate = sum(map(owner_rate, limits)) / max(1, nodes)
-            earliest = 0.0
-        schedule = self._return_schedules.setdefault(
-            context.service.name, ReturnSchedule(self._rng)
-        )
-        delay = schedule.next_delay(now, rate, earliest)
-        return Rejection(ErrorCode.TARGETS_RATE_LIMITED, reason, delay)
+        retry_after = self._permits.retry_after(now, context.service.name, targets)
+        return Rejection(ErrorCode.TARGETS_RATE_LIMITED, reason, retry_after)
 
     def _log_no_target(
         self, context: RequestContext, queue: AdmissionQueue, since: float, reason: str
@@ -308,7 +267,7 @@
             if selected is not None:
                 return selected
             now = self._clock()
-            if not self._is_permit_due(context, queue.position(waiter), now, waiter.wait_deadline):
+            if not self._can_wait(context, queue.position(waiter), now, waiter.wait_deadline):
                 return self._reject_without_permit(context, queue, now, since)
 
     def _accept_handover(
@@ -375,8 +334,9 @@
         )
         candidates = [
             candidate
-            for candidate in self._limited_candidates(now, context)
-            if self._is_response_in_time(context, candidate, now, service_time)
+            for candidate in self._permits.candidates(now, self._untried_targets(context))
+            if self._is_probe_allowed(now, context, candidate.target)
+            and self._is_response_in_time(context, candidate, now, service_time)
         ]
         best = self._selector.best(now, candidates, service_time, context.route.target_latency)
         if best is None:
@@ -394,21 +354,6 @@
             return None
         return self._take(now, best, connection, service_time)
 
-    def _limited_candidates(self, now: float, context: RequestContext) -> Iterable[ProbedTarget]:
-        """Yields the targets for which this node holds a permit, with their estimated load."""
-        for target in self._untried_targets(context):
-            if (
-                not self._rate_limits.is_limited(target)
-                or not self._rate_limits.may_send(now, target)
-                or not self._is_probe_allowed(now, context, target)
-            ):
-                continue
-            observations = self._access.observations(target)
-            if observations.failures(now) < OUTLIER_FAILURE_SCORE:
-                pace = 1.0 + observations.reported_excess_pace(now)
-                load = LoadFigures(observations.in_flight, 0, target.slots, pace)
-                yield ProbedTarget(target, load, observations.is_cold(now))
-
     async def probe_candidates(
         self, context: RequestContext, accepts_late_response: bool = False
     ) -> SelectedTarget | None:
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -1,6 +1,7 @@
 """Tests of the rate limits that targets state, over all nodes of a fleet and without sockets."""
 
 import asyncio
+import dataclasses
 import heapq
 import itertools
 import random
@@ -12,6 +13,8 @@
 from nose2.tools import params
 
 from orioleloft_core.errors import ErrorCode
+from orioleloft_core.observations import TargetObservations
+from orioleloft_core.permits import PermitScheduler
 from orioleloft_core.ratelimits import (
     IDLE_PERMIT_S,
     OWNER_DELAY_S,
@@ -366,6 +369,60 @@
         self.assertTrue(limits.may_send(7.0 + OWNER_DELAY_S + 1.0, TARGET))
 
 
+class PermitSchedulerTest(unittest.TestCase):
+    def start(self, *limits, name="n0"):
+        """Makes a scheduler of a node that learns the limits of targets t0, t1, ... at 0 s."""
+        self.rate_limits = make_limits(name)
+        self.observations = TargetObservations()
+        self.targets = [dataclasses.replace(TARGET, id=f"t{i}") for i in range(len(limits))]
+        for target, limit in zip(self.targets, limits, strict=True):
+            if limit is not None:
+                self.rate_limits.observe(0.0, target, RateLimit(limit), RESPONSE, 0.0)
+        return PermitScheduler(
+            self.rate_limits,
+            lambda target: self.observations,
+            lambda: {"n0": "z0"},
+            random.Random(1),
+        )
+
+    @params(
+        # Limits, requests ahead, seconds until the deadline, whether a request can wait.
+        ((None, 1.0), 50, 0.1, True),
+        ((8.0, 8.0), 0, 1.9, False),
+        ((8.0, 8.0), 0, 2.1, True),
+        ((8.0, 8.0), 3, 2.4, False),
+        ((8.0, 8.0), 3, 2.6, True),
+        ((0.0,), 0, 5.0, False),
+        ((), 0, 0.1, True),
+    )
+    def test_waits(self, limits, ahead, seconds, can_wait):
+        """Guards against requests that wait in vain, and against needless rejections."""
+        permits = self.start(*limits)
+        for target in self.targets:
+            if self.rate_limits.is_limited(target):
+                self.rate_limits.time_to_permit(0.0, target)
+        self.assertEqual(permits.can_wait(0.0, self.targets, ahead, seconds), can_wait)
+
+    @params((0, ["t0", "t1"]), (3, []))
+    def test_candidates(self, failures, ids):
+        """Guards against permits for targets without a limit, and requests to failing targets."""
+        permits = self.start(1.0, 8.0, None)
+        self.assertEqual(permits.candidates(0.0, self.targets), [])
+        for _ in range(failures):
+            self.observations.on_failure(10.0)
+        found = permits.candidates(10.0, self.targets)
+        self.assertEqual([candidate.target.id for candidate in found], ids)
+
+    def test_idle_permits(self):
+        """Guards against probes beside the requests that use the permits."""
+        permits = self.start(8.0, None)
+        self.assertEqual(permits.take_idle(0.0, self.targets), [])
+        self.assertEqual(permits.take_idle(OWNER_DELAY_S + 3.9, self.targets), [])
+        at = OWNER_DELAY_S + IDLE_PERMIT_S + 0.1
+        self.assertEqual(permits.take_idle(at, self.targets), self.targets[:1])
+        self.assertEqual(permits.take_idle(at + 1.0, self.targets), [])
+
+
 class ReturnScheduleTest(unittest.TestCase):
     @params((2.0, 0.0), (10.0, 0.3))
     def test_returns_are_spread(self, rate, earliest):
