Make the test of connections at a stop fail without each of its two guards

With close_idle taken out, or connections closed that receive a request, the two cases still passed: the idle timeout of the fixture ended the connection as well, and the unread bytes of a header were a second guard.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -29,6 +29,7 @@
         self.cancelled = []
         self.is_stopping = False
         self.finish_gate = None
+        self.idle_timeout = 0.3
         self.memory = 10_000
         self.reserved = 0
         self.reply = CallerReply(200, httputil.HTTPHeaders({"X-A": "1"}), b"hi")
@@ -42,7 +43,7 @@
         return 100.0
 
     def limits(self):
-        return CallerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, 0.2, 0.3)
+        return CallerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, 0.2, self.idle_timeout)
 
     def is_draining(self):
         return self.is_stopping
@@ -199,10 +200,15 @@
         self.assertEqual(json.loads(body)["code"], code.value)
         self.assertTrue(json.loads(body)["remedy"])
 
-    @params((b"", b""), (b"GET /1 HT", b"hi"))
+    @params(
+        (b"", b"", b""),
+        (b"GET /1 HT", b"TP/1.1\r\nHost: a\r\n\r\n", b"hi"),
+        (post(b"Content-Length: 4"), b"full", b"hi"),
+    )
     @async_test
-    async def test_connections_of_a_node_that_stops(self, sent_before, end):
+    async def test_connections_of_a_node_that_stops(self, sent_before, sent_after, end):
         """Guards against a reset of connections on which a request is due when a node stops."""
+        self.idle_timeout = 60.0
         port = self.start()
         self.is_stopping = True
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -213,7 +219,7 @@
             await asyncio.sleep(0)
         self.server.stop()
         self.server.close_idle_connections()
-        writer.write(b"TP/1.1\r\nHost: a\r\n\r\n" if sent_before else b"")
+        writer.write(sent_after)
         self.assertTrue((await reader.read()).endswith(end))
         writer.close()
         with self.assertRaises(ConnectionRefusedError):
