--- a/packages/core/orioleloft_core/ratelimits.py
+++ b/packages/core/orioleloft_core/ratelimits.py
@@ -19,9 +19,9 @@
 from orioleloft_core.registry import RegisteredTarget
 from orioleloft_core.slowstart import MEMBERSHIP_VIEWS, OWNERS_PER_TARGET
 
-# The operators accept this multiple of a stated limit in any `WINDOW_S`, and 5 requests on top.
-# The owners of two views of the registered nodes share it; those of one view send three quarters
-# of the stated limit. The extra requests cover the permit that each of them may hold.
+# The operators accept this multiple of a stated limit in any 4 s, and 5 requests on top. The owners
+# of two views of the registered nodes share it; those of one view send three quarters of the stated
+# limit. The extra requests cover the permit that each of the four owners may hold.
 ACCEPTED_MULTIPLE = 1.5
 # Least rate of permits of an owner, in permits per second. It also applies to a limit of 0, whose
 # end only the answer to a request or a probe shows.
