--- a/tests/support/memorytargets.py
+++ b/standins/memoryfleet.py
@@ -1,4 +1,4 @@
-"""Targets in memory, and forwarders of several nodes that send requests to them without sockets."""
+"""Nodes and targets in memory: forwarders that send requests to targets without sockets."""
 
 import asyncio
 import dataclasses
