Keep a failure of one target's address from ending other requests

Cause: the socket library refuses an address that is not text it can encode with a TypeError. `connect` turned only the errors of a failed connection into `ExchangeError`, so the exception left the probe, `_collect_responses` raised it in the request that had asked for the probe, a hedge's search raised it in a request that was at work, and the pipeline closed the caller's connection with all its requests. As the probe never counted as a failure, the target stayed among the candidates.

Change: what is not foreseen on the way to one target costs that target's attempt. `connect` and `exchange` raise `ExchangeError` for any exception, a probe or an attempt that fails otherwise counts against its target, and the entry node answers `internal-error` (502, outcome unknown) where it closed the connection. Each of them logs the trace. A socket that cannot be created (no descriptor left) was outside of the same `try`.

--- a/packages/core/orioleloft_core/errors.py
+++ b/packages/core/orioleloft_core/errors.py
@@ -26,6 +26,7 @@
     CRASH_SUSPECT = "crash-suspect"
     NODE_STARTING = "node-starting"
     NODE_STOPPING = "node-stopping"
+    INTERNAL_ERROR = "internal-error"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +70,7 @@
     ),
     ErrorCode.NODE_STARTING: ErrorResponse(503, _NOT_RUN, _USE_OTHER_NODE),
     ErrorCode.NODE_STOPPING: ErrorResponse(503, _NOT_RUN, _USE_OTHER_NODE),
+    ErrorCode.INTERNAL_ERROR: ErrorResponse(502, _UNKNOWN, _CHECK_RESULT),
 }
 
 
--- a/packages/node/orioleloftd/connections.py
+++ b/packages/node/orioleloftd/connections.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import functools
+import logging
 import socket
 import sys
 from collections.abc import Callable
@@ -56,6 +57,8 @@
 # memory, and three lists of a megabyte are read at a time.
 CONTROL_MEMORY_BYTES = 20 * 1024 * 1024
 
+_log = logging.getLogger(__name__)
+
 
 class ExchangeError(Exception):
     """An exchange failed before a complete response was read.
@@ -246,6 +249,10 @@
             self.close()
             is_oversized = self._is_oversized(reader)
             raise ExchangeError(f"connection failed: {error}", True, is_oversized) from error
+        except Exception as error:
+            self.close()
+            _log.exception("exchange failed unexpectedly")
+            raise ExchangeError(f"unexpected error: {error!r}", True) from error
         except BaseException:
             self.close()
             raise
@@ -290,12 +297,21 @@
         ExchangeError: the connection was not established; nothing was sent.
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    stream = NoDelayStream(socket.socket(family), max_buffer_size=MAX_BUFFER_BYTES)
+    try:
+        stream = NoDelayStream(socket.socket(family), max_buffer_size=MAX_BUFFER_BYTES)
+    except OSError as error:
+        # No descriptor is left, or the VM lacks the address family.
+        raise ExchangeError(f"no socket for {host}:{port}: {error}", False) from error
     try:
         await asyncio.wait_for(stream.connect((host, port)), timeout)
     except (iostream.StreamClosedError, TimeoutError, OSError) as error:
         stream.close()
         raise ExchangeError(f"cannot connect to {host}:{port}: {error}", False) from error
+    except Exception as error:
+        # An address that the socket library refuses must cost only its own target.
+        stream.close()
+        _log.exception("connect failed unexpectedly")
+        raise ExchangeError(f"cannot connect to {host!a}:{port}: {error!r}", False) from error
     except BaseException:
         stream.close()
         raise
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -492,16 +492,22 @@
 
     async def serve(self, request: CallerRequest) -> CallerReply:
         """Routes and forwards a request, records its metrics and logs the result."""
-        route = None
         table = self._state.table
         if not self._state.is_complete:
             reply = self._error_reply(request, ErrorCode.NODE_STARTING, "no configuration is known")
-        else:
-            route = table.route(request.host, request.path)
+            self._record_reply(request, "", reply)
+            return reply
+        route = table.route(request.host, request.path)
+        try:
             if self._shutdown.accepts(node_clock(), _time_limit(request, route)):
                 reply = await self._forward_until_exit(request, route)
             else:
                 reply = self._refuse_while_stopping(request)
+        except Exception:
+            # Without an answer the connection would be closed, with all other requests on it.
+            _log.exception("request failed")
+            text = "an unexpected error, which the log of this node has"
+            reply = self._error_reply(request, ErrorCode.INTERNAL_ERROR, text)
         self._record_reply(request, route.name if route else "", reply)
         return reply
 
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -231,7 +231,7 @@
                     if reply is not None:
                         return reply
                 if hedge_search in done:
-                    can_hedge = self._start_hedge(context, running, hedge_search.result())
+                    can_hedge = self._start_hedge(context, running, result_or_none(hedge_search))
                     hedge_search = None
         finally:
             for task in running:
@@ -419,6 +419,12 @@
             selected.connection.close()
             self._recorder.on_cancelled(context, selected, self._clock() - started_at)
             raise
+        except Exception:
+            # A defect that one target triggers must not end the request.
+            _log.exception("attempt failed unexpectedly")
+            selected.connection.close()
+            self._recorder.on_failure(target)
+            return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
 
     async def _exchange(
         self, context: RequestContext, selected: SelectedTarget, started_at: float
--- a/packages/node/orioleloftd/targetaccess.py
+++ b/packages/node/orioleloftd/targetaccess.py
@@ -126,6 +126,17 @@
             Its load and a connection that is ready for a request, or None if the probe failed or
             the target accepts no requests.
         """
+        try:
+            return await self._probe(target, service, has_permit)
+        except Exception:
+            # A defect that one target triggers must not end the requests that probe it.
+            _log.exception("probe failed unexpectedly")
+            self.observations(target).on_failure(self._clock())
+            return None
+
+    async def _probe(
+        self, target: RegisteredTarget, service: RoutedService, has_permit: bool
+    ) -> tuple[ProbedTarget, Connection] | None:
         observations = self.observations(target)
         self._count("probes")
         observations.open_probes += 1
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -19,7 +19,7 @@
 from orioleloftd.connections import Connection
 from orioleloftd.logs import log_event
 from orioleloftd.requestcontext import Rejection, RequestContext, SelectedTarget
-from orioleloftd.targetaccess import PROBE_WAIT_S, TargetAccess
+from orioleloftd.targetaccess import PROBE_WAIT_S, TargetAccess, result_or_none
 
 # A request leaves the queue when this multiple of its expected service time is left of its target
 # latency. The margin covers requests that take longer than usual on shared machines.
@@ -428,8 +428,9 @@
             )
             for task in done:
                 del probes[task]
-                if task.result() is not None:
-                    candidate, connection = task.result()
+                found = result_or_none(task)
+                if found is not None:
+                    candidate, connection = found
                     responsive[candidate] = connection
 
     def _select_best(
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 from tornado import httputil
@@ -141,6 +142,21 @@
         reply = await node.serve(request)
         self.assertEqual((reply.code, reply.status), (code, status))
 
+    @async_test
+    async def test_unexpected_exception(self):
+        """Guards against a closed connection in place of an answer, with all requests on it."""
+        node = self.start(InMemoryStore())
+        await node.start()
+        await self.wait_until_ready(node)
+        node._forward_to_route = mock.AsyncMock(side_effect=RuntimeError("defect"))
+        request = CallerRequest(
+            "r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), 1.0
+        )
+        with self.assertLogs("orioleloftd.entry", "ERROR") as logged:
+            reply = await node.serve(request)
+        self.assertEqual((reply.code, reply.status), (ErrorCode.INTERNAL_ERROR, 502))
+        self.assertIn("defect", logged.output[0])
+
     @params((60.0, 1.0, True), (1.0, 60.0, True), (60.0, 60.0, False), (60.0, None, False))
     @async_test
     async def test_request_during_a_stop(self, route_timeout, caller_timeout, is_forwarded):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 from tornado import httputil
@@ -368,6 +369,46 @@
         self.assertEqual(self.runs, [])
         self.assertEqual((await self.send(path="/good")).status, 200)
 
+    @params(
+        # With the boundary of the store bypassed: any address that a socket refuses.
+        "\ufffd\ufffd\ufffd.64.13",
+        "\ud800.64.13",
+        "127.0.0.1\0",
+        "x" * 70_000,
+    )
+    @async_test
+    async def test_unusable_address_beside_sound_targets(self, host):
+        """Guards against requests that end with an exception of one target's address (LOST)."""
+        self.start(*[Behaviour()] * 3)
+        odd = RegisteredTarget("odd", "s", host, 80, "za", 2, False, 1)
+        targets = (odd, *self.registry.target_list.targets)
+        self.registry.replace_targets(TargetList(StateVersion(2, 1), targets))
+        replies = await asyncio.gather(*[self.send(path=f"/{index}") for index in range(6)])
+        self.assertEqual({reply.status for reply in replies}, {200})
+        self.assertGreater(self.forwarder.access.observations(odd).failures(time.monotonic()), 0)
+
+    @async_test
+    async def test_unusable_address_of_a_hedge(self):
+        """Guards against a request at work that ends as the search for a hedge fails (LOST)."""
+        self.start(Behaviour(work_s=0.5))
+        odd = RegisteredTarget("odd", "s", "\ufffd.64.13", 80, "za", 2, False, 1)
+        sending = asyncio.create_task(self.send(make_route(latency=0.1)))
+        while not self.runs:
+            await asyncio.sleep(0.001)
+        targets = (odd, *self.registry.target_list.targets)
+        self.registry.replace_targets(TargetList(StateVersion(2, 1), targets))
+        self.assertEqual((await sending).status, 200)
+
+    @params((LOOKUP, "GET", 2), (PAYMENT, "POST", 1))
+    @async_test
+    async def test_unexpected_exception_after_an_answer(self, route, method, runs):
+        """Guards against a request without an answer as a defect shows with one target's answer."""
+        self.start(*[Behaviour()] * 3)
+        self.forwarder._recorder.on_success = mock.Mock(side_effect=RuntimeError("defect"))
+        reply = await self.send(route, method)
+        self.assertEqual((reply.status, reply.code), (502, ErrorCode.TARGET_BROKE_OFF))
+        self.assertEqual(len(self.runs), runs)
+
     @async_test
     async def test_connection_handed_over_once(self):
         """Guards against one connection that two requests read ('Already reading').
