Leave out odd entries of targets one by one, whatever they hold

What operators reported: another writer left one entry among those of the endpoints, very deeply nested, with a number too large or a port out of range; the machines that read the list ended or stopped following it.

Cause, four places: (1) the JSON of a page was decoded as one document, so that an integer of 5,000 digits, bytes that are not UTF-8 or 100,000 brackets cost the whole list or watch (ValueError, or a RecursionError that ended the bootstrap of a node); (2) `decode_target` took any text as a host, id, service or zone, also text that UTF-8 cannot encode, so that hashes, messages to peers and connects failed later; (3) the name of an unreadable entry went on to peers as a removal, and into the query of the next page as it was; (4) one odd row of the list of nodes refused the list, and an odd host there would have made asyncio close the transport of datagrams.

Unreadable entries are counted (gauge) and logged in one line a read. Second line: a datagram that cannot be encoded, the first read and the registration log unforeseen errors and go on.

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -325,6 +325,10 @@
         except StoreError as error:
             log_event(_log, "state not read", logging.WARNING, reason=str(error))
             return
+        except Exception:
+            # The bootstrap goes on to the watch, which reads the store again.
+            _log.exception("initial read failed unexpectedly")
+            return
         self._state.apply_initial(StateUpdate(table, targets, closed))
 
     async def _wait_until_ready(self, seconds: float) -> None:
@@ -443,6 +447,7 @@
 
     def _serve_metrics(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
         self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
+        self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
 
     def entry_hosts(self, zone: str, service_host: str) -> list[str]:
--- a/packages/node/orioleloftd/noderegistrar.py
+++ b/packages/node/orioleloftd/noderegistrar.py
@@ -57,6 +57,9 @@
                     is_first = False
                 except StoreError as error:
                     log_event(_log, "nodes not read", logging.WARNING, reason=str(error))
+                except Exception:
+                    # A defect with one entry must not end the registration for good.
+                    _log.exception("registration failed unexpectedly")
             await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
 
     async def _reconcile(self, may_write: bool) -> None:
--- a/packages/node/orioleloftd/peering.py
+++ b/packages/node/orioleloftd/peering.py
@@ -76,16 +76,17 @@
         """Sends datagrams; a message that goes to several nodes is encoded once.
 
         Returns:
-            False if any message exceeds the datagram size; such messages are not sent.
+            False if any message exceeds the datagram size or cannot be encoded; such messages are
+            not sent.
         """
-        encoded: dict[int, bytes] = {}
+        encoded: dict[int, bytes | None] = {}
         for message in outgoing:
             key = id(message.datagram)
             if key not in encoded:
-                encoded[key] = codec.encode(messages.pack(message.datagram))
-            if len(encoded[key]) <= MAX_DATAGRAM_BYTES:
+                encoded[key] = _encode_datagram(message.datagram)
+            if encoded[key] is not None:
                 self._transport.sendto(encoded[key], (message.host, self._port))
-        return all(len(data) <= MAX_DATAGRAM_BYTES for data in encoded.values())
+        return None not in encoded.values()
 
     def close(self) -> None:
         """Closes the socket, if it is open."""
@@ -93,6 +94,16 @@
             self._transport.close()
 
 
+def _encode_datagram(datagram: Datagram) -> bytes | None:
+    """Encodes a datagram; returns None if it is too large or cannot be encoded, which is logged."""
+    try:
+        data = codec.encode(messages.pack(datagram))
+    except (ValueError, TypeError, OverflowError):
+        _log.exception("datagram not encoded")
+        return None
+    return data if len(data) <= MAX_DATAGRAM_BYTES else None
+
+
 class StateExchange:
     """Server and client side of shared-state transfers between nodes.
 
@@ -124,7 +135,7 @@
         """
         try:
             known = _decode_versions(query.get("known", ""))
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return 400, "text/plain", f"unreadable versions: {error}".encode()
         if "nodes" in query:
             return 200, CONTENT_TYPE, _encode_transfer(StateTransfer(update_since(known), nodes))
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -83,6 +83,10 @@
     Every method raises `StoreError` if the call fails.
     """
 
+    @property
+    def unreadable_registrations(self) -> int:
+        """Number of registrations of targets that were read and refused as malformed."""
+
     async def read_table(self, allow_stale: bool = False) -> tuple[RouteTable | None, int]:
         """Returns the newest valid route table, or None, and the store's revision.
 
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -21,8 +21,10 @@
 
 from absl import flags
 
+from orioleloft_adapter.store import TARGETS_KIND
 from orioleloft_core.entrysettings import Endpoint
 from orioleloftd.connections import ExchangeError, HttpClient
+from standins import oddentries
 from standins.callers import Caller, CallerAttempt, RequestKind, latency_table
 from standins.oracle import find_rate_limit_violation, find_violations
 from standins.processes import (
@@ -308,6 +310,7 @@
             ("store busy", "store", self._store_fault_injector("busy")),
             ("store silent", "store", self._store_fault_injector("silent")),
             ("closed zone", "za", self._close_and_reopen_zone),
+            ("odd entry of another writer", "store", self._write_odd_entry),
         ]
 
     def _is_up(self, name: str) -> bool:
@@ -414,6 +417,31 @@
             HOST, self._store.port, "POST", "/control", body=body, timeout=HANG_TIMEOUT_S
         )
 
+    async def _write_odd_entry(self, name: str, seconds: float) -> None:
+        """Adds an entry that names no target to use; it stays for the rest of the run."""
+        port, _ = self._target_ports[self.targets[0]]
+        sound_spec = {
+            "service": self.targets[0].rpartition("-")[0],
+            "address": f"{HOST}:{port}",
+            "zone": ZONES[0],
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_remaining": "0ms",
+            "sequence": 1,
+            "born": 1,
+        }
+        entry = oddentries.draw(self._rng, sound_spec)
+        raw_object = {
+            "kind": TARGETS_KIND,
+            "name": entry.name,
+            "spec": entry.spec.decode("latin1"),
+        }
+        body = json.dumps({"raw_object": raw_object}).encode()
+        await self._client.call(
+            HOST, self._store.port, "POST", "/control", body=body, timeout=HANG_TIMEOUT_S
+        )
+
     async def _close_and_reopen_zone(self, zone: str, seconds: float) -> None:
         path = "/v1/objects/evacuations"
         body = json.dumps({"metadata": {"name": zone}, "spec": {}}).encode()
--- a/standins/store.py
+++ b/standins/store.py
@@ -3,7 +3,8 @@
 It implements the platform's published HTTP API. `POST /control` with
 `{"mode": "up" | "busy" | "silent"}` injects or clears a fault: a busy store answers with 503, a
 silent one delays each response by `MAX_WATCH_S`. `GET /control` returns the mode and the number of
-API requests.
+API requests. `{"raw_object": {"kind": ..., "name": ..., "spec": ...}}` writes an object as another
+program may leave it: the spec is JSON text that is sent to readers as it is, one character a byte.
 """
 
 import asyncio
@@ -18,6 +19,8 @@
 OBJECTS_PATH = "/v1/objects/"
 CONTROL_PATH = "/control"
 PAGE_SIZE = 50
+# Size from which a page of a list is complete, in bytes.
+PAGE_BYTES = 1_000_000
 # Longest duration of a watch request, in seconds.
 MAX_WATCH_S = 30.0
 
@@ -31,6 +34,8 @@
         self.revision = 1
         self.oldest_revision = 1
         self._objects_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
+        # JSON text of raw specs by the placeholder that is stored in their place.
+        self._raw_specs: dict[str, bytes] = {}
         self._history: list[tuple[int, str, dict[str, Any]]] = []
         self._history_changed = asyncio.Condition()
 
@@ -73,9 +78,12 @@
     def _list(self, kind: str, query: dict) -> tuple[int, Any]:
         after = query.get("after", "")
         names = sorted(name for name in self.objects(kind) if name > after)
-        page = [self.objects(kind)[name] for name in names[:PAGE_SIZE]]
-        has_more = len(names) > PAGE_SIZE
-        return 200, {"items": page, "has_more": has_more, "at": self.revision}
+        page = []
+        page_bytes = 0
+        while len(page) < min(len(names), PAGE_SIZE) and page_bytes < PAGE_BYTES:
+            page.append(self.objects(kind)[names[len(page)]])
+            page_bytes += len(self._encode(page[-1]))
+        return 200, {"items": page, "has_more": len(names) > len(page), "at": self.revision}
 
     async def _watch(self, kind: str, query: dict) -> tuple[int, Any]:
         since = int(query["watch"])
@@ -142,22 +150,42 @@
         async with self._history_changed:
             self._history_changed.notify_all()
 
-    def handle_control_request(self, method: str, body: bytes) -> tuple[int, Any]:
-        """Executes a control request; a POST sets the mode. Returns the status and the document."""
+    async def handle_control_request(self, method: str, body: bytes) -> tuple[int, Any]:
+        """Executes a control request; returns the status and the document.
+
+        A POST sets the mode or writes a raw object.
+        """
         if method == "POST":
-            self.mode = json.loads(body)["mode"]
+            command = json.loads(body)
+            self.mode = command.get("mode", self.mode)
+            if "raw_object" in command:
+                await self._write_raw(**command["raw_object"])
         return 200, {"mode": self.mode, "calls": self.request_count}
 
+    async def _write_raw(self, kind: str, name: str, spec: str) -> None:
+        placeholder = f"raw spec {len(self._raw_specs)}"
+        self._raw_specs[placeholder] = spec.encode("latin1")
+        await self._write(kind, name, placeholder, self.objects(kind).get(name))
+
+    def _encode(self, document: Any) -> bytes:
+        body = json.dumps(document).encode()
+        for placeholder, spec in self._raw_specs.items():
+            body = body.replace(json.dumps(placeholder).encode(), spec)
+        return body
+
     async def handle_request(self, request: httputil.HTTPServerRequest) -> None:
         """Handles a request of the HTTP server, unless its connection closes in the meantime."""
-        query = {name: values[-1].decode() for name, values in request.arguments.items()}
+        query = {
+            name: values[-1].decode("utf-8", "surrogatepass")
+            for name, values in request.arguments.items()
+        }
         if request.path == CONTROL_PATH:
-            status, document = self.handle_control_request(request.method, request.body)
+            status, document = await self.handle_control_request(request.method, request.body)
         else:
             status, document = await self.handle_api_request(
                 request.method, request.path, query, request.body
             )
-        body = json.dumps(document).encode()
+        body = self._encode(document)
         headers = httputil.HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
         )
