Block requests on the crashes of different targets, and clear them by an answer

Cause: `CrashTracker` counted one crash for each request that was at work as a target died, so that one death under two copies reached the limit of two (log: `target crashed` at two nodes for the same target, 2 ms apart, counts 1 and 2). The fingerprint left out the caller, although a harmful request comes again from the same caller, and nothing but 60 s without a crash ended the block: as the query was blocked, no answer could show that it was sound. Ruled out: the route's late start (requests on it were served until the crash), and the retry budget (all answers carry `crash-suspect`).

Change: the evidence against a request is the set of target processes (id and start) that crashed while they ran it, kept for the request of one caller (two processes block it) and for the content of all callers (three). A whole answer clears what was held against it, also at the other nodes; a crash within 3 s after an answer does not count, for targets that die together. Both sets only grow, so that reports may come twice, late or out of order. A block ends with an answer, or with a trial 60 s after the last crash that doubles the time if it crashes a target again. It is checked once more just before a dispatch, as a request may have waited meanwhile.

--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -11,6 +11,7 @@
 
 from orioleloft_core import packing
 from orioleloft_core.contention import RouteStatistics
+from orioleloft_core.crashes import CrashRecord
 from orioleloft_core.ratelimits import RateLimitNotice
 from orioleloft_core.registry import StateVersion
 from orioleloft_core.updates import StateUpdate
@@ -217,22 +218,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class CrashReport:
-    """Broadcasts that a request has crashed a target.
+    """Carries evidence on requests that crash targets, either broadcast or sent to one node.
 
     Attributes:
         state: state of the sender.
-        fingerprint: hash of the content of the request.
-        count: crashes by this request that the sender knows of.
+        records: evidence of the sender.
         delivery: how the datagram got to the receiver.
     """
 
     state: NodeState
-    fingerprint: str
-    count: int
+    records: tuple[CrashRecord, ...]
     delivery: Delivery = Delivery.DIRECT
 
-    encoded_name: ClassVar[str] = "CrashSign"
-
 
 @dataclasses.dataclass(frozen=True)
 class ContentionReport:
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -9,6 +9,7 @@
 
 from orioleloft_core import membership, placement
 from orioleloft_core.budget import TokenBucket
+from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.entrysettings import EntrySettings
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.fleet import Fleet
@@ -16,7 +17,6 @@
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.messages import (
     ContentionReport,
-    CrashReport,
     Datagram,
     NodeState,
     RateLimitReport,
@@ -32,6 +32,7 @@
 from orioleloft_core.updates import StateUpdate
 from orioleloftd.connections import HttpClient
 from orioleloftd.controlserver import ControlResponse, ControlServer
+from orioleloftd.crashdissemination import CrashDissemination
 from orioleloftd.exposition import NodeMetrics
 from orioleloftd.forwarding import Forwarder
 from orioleloftd.frontend import CallerServer
@@ -139,12 +140,17 @@
         self._transport = DatagramEndpoint(settings.peer_endpoint.port, self._on_datagram)
         self._memory = MemoryAccount(int(settings.memory_bytes * BODY_MEMORY_FRACTION))
         self._state_exchange = StateExchange(HttpClient(node_clock), settings.peer_endpoint.port)
+        self._crash_tracker = CrashTracker()
+        self._crash_dissemination = CrashDissemination(
+            self._crash_tracker, self._fleet, self._transport, node_clock
+        )
         self._peer_protocol = PeerProtocol(
             fleet=self._fleet,
             state=self._state,
             transport=self._transport,
             exchange=self._state_exchange,
             reports=self,
+            crashes=self._crash_dissemination,
             spawn=self._spawn,
             clock=node_clock,
             rng=self._rng,
@@ -198,7 +204,8 @@
             memory=self._memory,
             report_target=self._peer_protocol.report_target,
             report_rate_limit=self._peer_protocol.report_rate_limit,
-            report_crash=self._peer_protocol.report_crash,
+            crashes=self._crash_tracker,
+            report_crashes=self._crash_dissemination.report,
             count=self._metrics.count,
             clock=node_clock,
             rng=self._rng,
@@ -396,10 +403,6 @@
         if observations is not None:
             observations.on_peer_report(now, report.failures, report.latency_ratio)
 
-    def on_crash_report(self, now: float, report: CrashReport) -> None:
-        """Merges another node's crash count for a request fingerprint."""
-        self._forwarder.crashes.merge(now, report.fingerprint, report.count)
-
     def on_rate_limit_report(self, report: RateLimitReport) -> None:
         """Adopts another node's notice of the rate limit of a target."""
         self._forwarder.rate_limit_recorder.on_peer_notice(report.notice, report.state.name)
@@ -447,6 +450,7 @@
 
     def _serve_metrics(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
         self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
+        self._metrics.set_gauge("blocked_requests", self._crash_tracker.blocked_count)
         self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
 
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -6,12 +6,12 @@
 import random
 from collections.abc import Callable
 
-from orioleloft_core import attempts, hashing
+from orioleloft_core import attempts
 from orioleloft_core.attempts import AttemptEnd, AttemptResult, Fail, Retry, ReturnResponse
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.callerretries import CallerRetryDetector
 from orioleloft_core.contention import ContentionCurves
-from orioleloft_core.crashes import CrashTracker
+from orioleloft_core.crashes import CrashRecord, CrashTracker, process_id
 from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.observations import OVERSIZED_RESPONSE_WEIGHT, LoadFigures
@@ -78,7 +78,8 @@
         memory: account that is charged for response bodies.
         report_target: reports a target to other nodes: target id, failures, latency ratio.
         report_rate_limit: reports the rate limit of a target to other nodes.
-        report_crash: reports a crash to other nodes: request fingerprint, count.
+        crashes: evidence on requests that crash targets.
+        report_crashes: reports such evidence to other nodes.
         count: increments a metric.
         clock: seconds on the node's clock.
         rng: source of randomness.
@@ -99,7 +100,8 @@
         memory: MemoryAccount,
         report_target: Callable[[str, float, float], None],
         report_rate_limit: Callable[[RateLimitNotice], None],
-        report_crash: Callable[[str, int], None],
+        crashes: CrashTracker,
+        report_crashes: Callable[[tuple[CrashRecord, ...]], None],
         count: Callable[..., None],
         clock: Callable[[], float],
         rng: random.Random,
@@ -108,7 +110,8 @@
         self._table = table
         self._registry = registry
         self._budget = budget
-        self._report_crash = report_crash
+        self._crashes = crashes
+        self._report_crashes = report_crashes
         self._count = count
         self._clock = clock
         self._rng = rng
@@ -137,15 +140,9 @@
         self._recorder = AttemptRecorder(
             self._access, self._service_times, self._contention, report_target, clock
         )
-        self._crashes = CrashTracker()
         self._caller_retries = CallerRetryDetector()
         self._crash_checks: set[asyncio.Task] = set()
 
-    @property
-    def crashes(self) -> CrashTracker:
-        """Fingerprints of requests that have crashed targets."""
-        return self._crashes
-
     @property
     def contention(self) -> ContentionCurves:
         """Contention curves of the services."""
@@ -182,7 +179,7 @@
         service = table.service(service_name) if table else None
         if service is None:
             return self._error(request, ErrorCode.NO_CAPACITY, "the service has no configuration")
-        if self._crashes.is_blocked(now, self._fingerprint(request)):
+        if self._crashes.is_blocked(now, request.fingerprints):
             return self._error(request, ErrorCode.CRASH_SUSPECT, "the request has crashed targets")
         is_caller_retry = self._caller_retries.is_caller_retry(now, route.name, timeout)
         context = RequestContext(
@@ -260,6 +257,9 @@
             return self.error_reply(
                 request.id, selected.code, selected.reason, selected.retry_after
             )
+        if not self._crashes.start_run(self._clock(), request.fingerprints):
+            self._chooser.release_unused(selected)
+            return self._error(request, ErrorCode.CRASH_SUSPECT, "the request has crashed targets")
         if not context.attempt_count:
             self._budget.deposit(self._clock(), service)
         elif not self._budget.take(self._clock(), service):
@@ -288,7 +288,9 @@
         """Starts a hedge; returns False if there is no target or the budget is exhausted."""
         if selected is None:
             return False
-        if not self._budget.take(self._clock(), context.service.name, RETRY_RESERVED_TOKENS):
+        if not self._crashes.start_run(
+            self._clock(), context.request.fingerprints
+        ) or not self._budget.take(self._clock(), context.service.name, RETRY_RESERVED_TOKENS):
             self._chooser.release_unused(selected)
             return False
         self._start_dispatch(context, running, selected, "hedge")
@@ -489,6 +491,7 @@
         if response.status >= 500:
             self._recorder.on_failure(target)
         else:
+            self._clear_evidence(request)
             self._recorder.on_success(context, selected, now - started_at, metadata.load)
         return _EndedAttempt(
             AttemptResult(AttemptEnd.ANSWERED, response.status), target, response, metadata.load
@@ -496,10 +499,6 @@
 
     # Requests that crash targets.
 
-    def _fingerprint(self, request: CallerRequest) -> str:
-        head = f"{request.method} {request.host} {request.path}".encode()
-        return hashing.fingerprint(head, request.body)
-
     def _start_crash_check(self, context: RequestContext, target: RegisteredTarget) -> None:
         """Starts a background check whether a target has crashed that broke off its response."""
         task = asyncio.get_running_loop().create_task(
@@ -509,12 +508,35 @@
         task.add_done_callback(self._crash_checks.discard)
 
     async def _run_crash_check(self, request: CallerRequest, target: RegisteredTarget) -> None:
-        if await self._access.is_reachable(target):
+        reason = await self._access.connection_failure(target)
+        if reason is None:
+            return
+        records = self._crashes.on_crash(
+            self._clock(), request.fingerprints, process_id(target.id, target.started_ms)
+        )
+        log_event(
+            _log,
+            "target crashed",
+            request=request.id,
+            target=target.id,
+            crashes={r.scope.name.lower(): len(r.crashed) - len(r.cleared) for r in records},
+            reason=reason,
+        )
+        self._count("target_crashes")
+        self._report_crashes(records)
+
+    def _clear_evidence(self, request: CallerRequest) -> None:
+        """Clears a request of the crashes that it was suspected of, as a target has answered it."""
+        records = self._crashes.on_answer(self._clock(), request.fingerprints)
+        if not records:
             return
-        fingerprint = self._fingerprint(request)
-        count = self._crashes.record(self._clock(), fingerprint)
-        log_event(_log, "target crashed", request=request.id, target=target.id, crashes=count)
-        self._report_crash(fingerprint, count)
+        log_event(
+            _log,
+            "request cleared",
+            request=request.id,
+            crashes={r.scope.name.lower(): len(r.crashed) for r in records},
+        )
+        self._report_crashes(records)
 
     def _table_version(self) -> int:
         table = self._table()
--- a/packages/node/orioleloftd/frontend.py
+++ b/packages/node/orioleloftd/frontend.py
@@ -169,6 +169,7 @@
             body=b"".join(self._chunks),
             arrived_at=self._arrived_at,
             caller_timeout=metadata.caller_timeout,
+            caller_host=self._connection.context.remote_ip,
         )
         is_http_10 = self._start_line.version == "HTTP/1.0"
         is_close_requested = is_http_10 or "close" in connection_options(self._headers)
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -27,6 +27,7 @@
 )
 from orioleloft_core.ratelimits import RateLimitNotice
 from orioleloftd.connections import ExchangeError
+from orioleloftd.crashdissemination import CrashDissemination
 from orioleloftd.logs import log_event
 from orioleloftd.peering import DatagramEndpoint, StateExchange
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
@@ -56,9 +57,6 @@
     def on_target_report(self, now: float, report: TargetReport) -> None:
         """Handles a report of failures or of a high latency ratio of a target."""
 
-    def on_crash_report(self, now: float, report: CrashReport) -> None:
-        """Handles a report that a request has crashed a target."""
-
     def on_contention_report(self, now: float, report: ContentionReport) -> None:
         """Handles a report of the contention at a service's targets."""
 
@@ -81,6 +79,7 @@
         transport: sends datagrams.
         exchange: fetches the shared state over HTTP.
         reports: receives the reports of other nodes.
+        crashes: exchanges the evidence on requests that crash targets.
         spawn: runs a coroutine as a background task.
         clock: returns seconds of the node's clock.
         rng: random number generator.
@@ -94,6 +93,7 @@
         transport: DatagramEndpoint,
         exchange: StateExchange,
         reports: ReportReceiver,
+        crashes: CrashDissemination,
         spawn: Callable[[Awaitable[None]], None],
         clock: Callable[[], float],
         rng: random.Random,
@@ -103,6 +103,7 @@
         self._transport = transport
         self._state_exchange = exchange
         self._report_receiver = reports
+        self._crashes = crashes
         self._spawn = spawn
         self._clock = clock
         self._rng = rng
@@ -176,12 +177,6 @@
             self._fleet.broadcast(report, self._report_receiver.recipients(target_id))
         )
 
-    def report_crash(self, fingerprint: str, count: int) -> None:
-        """Reports to all nodes how often a request fingerprint has crashed a target."""
-        self._transport.send(
-            self._fleet.broadcast(CrashReport(self._fleet.own_state, fingerprint, count))
-        )
-
     def report_contention(self, service: str, routes: tuple[RouteStatistics, ...]) -> None:
         """Reports this node's observations of contention to the nodes that serve the service."""
         report = ContentionReport(self._fleet.own_state, service, routes)
@@ -231,8 +226,7 @@
                     self._fleet.relay(datagram, self._report_receiver.service_recipients(service))
                 )
             case CrashReport():
-                self._report_receiver.on_crash_report(now, datagram)
-                self._transport.send(self._fleet.relay(datagram))
+                self._crashes.on_report(datagram)
             case RateLimitReport():
                 self._report_receiver.on_rate_limit_report(datagram)
                 self._transport.send(self._fleet.relay(datagram))
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -1,10 +1,13 @@
 """Data types of a caller's request, its forwarding state, its selected target and its reply."""
 
 import dataclasses
+import functools
 
 from tornado import httputil
 
+from orioleloft_core import hashing
 from orioleloft_core.admissionqueue import Rank
+from orioleloft_core.crashes import RequestFingerprints
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.memory import ResponseReservation
 from orioleloft_core.routes import Route, RoutedService
@@ -25,6 +28,7 @@
         body: complete body.
         arrived_at: time of the first byte, in seconds on the node's clock.
         caller_timeout: timeout that the caller states, in seconds, or None.
+        caller_host: IP address of the caller; callers behind one address count as one.
     """
 
     id: str
@@ -35,6 +39,16 @@
     body: bytes
     arrived_at: float
     caller_timeout: float | None
+    caller_host: str = ""
+
+    @functools.cached_property
+    def fingerprints(self) -> RequestFingerprints:
+        """Hashes by which the request is known when it comes again."""
+        head = f"{self.method} {self.host} {self.path}".encode()
+        content = hashing.fingerprint(head, self.body)
+        return RequestFingerprints(
+            hashing.fingerprint(content.encode(), self.caller_host.encode()), content
+        )
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/orioleloftd/targetaccess.py
+++ b/packages/node/orioleloftd/targetaccess.py
@@ -273,13 +273,13 @@
             log_event(_log, "connection failed", target=target.id, reason=str(error))
         return None
 
-    async def is_reachable(self, target: RegisteredTarget) -> bool:
-        """Opens a new connection to a target to check whether it accepts one."""
+    async def connection_failure(self, target: RegisteredTarget) -> str | None:
+        """Opens a new connection to a target; returns why it accepts none, or None if it does."""
         try:
             connection = await connect(
                 target.host, target.port, self._clock(), CONNECT_TIMEOUT_S, self._memory
             )
-        except ExchangeError:
-            return False
+        except ExchangeError as error:
+            return str(error)
         connection.close()
-        return True
+        return None
--- a/standins/memoryfleet.py
+++ b/standins/memoryfleet.py
@@ -11,6 +11,7 @@
 
 from orioleloft_adapter.headers import PlatformHeaders
 from orioleloft_core.budget import TokenBucket
+from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.ratelimits import RateLimitNotice, RateLimits
 from orioleloft_core.registry import RegisteredTarget, StateVersion, TargetList, TargetRegistry
@@ -179,7 +180,8 @@
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=self.memory,
             report_target=lambda *_: None,
-            report_crash=lambda *_: None,
+            crashes=CrashTracker(),
+            report_crashes=lambda *_: None,
             count=lambda *_, **__: None,
             clock=self._clock,
             rng=random.Random(f"{seed} {name}"),
--- a/standins/target.py
+++ b/standins/target.py
@@ -57,6 +57,7 @@
             `MAX_DUPLICATE_DELAY_S`, when the next response on the connection may be due.
         repeated_refusal_share: share of refusals that are written again after such a delay.
         cut_head_share: share of successes that end within their head, with the connection.
+        crashing_path: path of requests that crash the target as they start to run, or empty.
         rate_limit: requests per second that the target states to take from all nodes together; an
             empty text states none.
     """
@@ -75,6 +76,7 @@
     late_share: float = 0.0
     repeated_refusal_share: float = 0.0
     cut_head_share: float = 0.0
+    crashing_path: str = ""
     rate_limit: str = ""
     reports_load: bool = True
 
@@ -152,6 +154,12 @@
             task.cancel()
         await self._server.close_all_connections()
 
+    def crash(self) -> None:
+        """Stops to listen and ends all connections at once, as the end of its process does."""
+        self._server.stop()
+        for connection in list(self._server._connections):
+            connection.stream.close()
+
     def _handle_request(self, request: httputil.HTTPServerRequest) -> None:
         if request.path == RUNS_PATH:
             document = [dataclasses.asdict(run) for run in self.runs]
@@ -204,6 +212,9 @@
             run = Run(request_id, request.method, request.uri, self.name, body, time.monotonic())
             self.runs.append(run)
             self._on_run(run)
+            if request.path == self.behaviour.crashing_path:
+                self.crash()
+                return
             await asyncio.sleep(self._draw_service_time_s())
             self._respond(request, id_header)
         finally:
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -65,6 +65,7 @@
     ["News", STATE, [TABLE, None, None], 0],
     ["DownClaim", STATE, [["n2", 4]], True, 2],
     ["TargetSign", STATE, "t1", 1.0, 2.5, 0],
+    ["CrashReport", STATE, [["ab12", 0, ["p1", "p2"], ["p1"], 2.5]], 0],
     ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
     ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
     ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -134,6 +134,26 @@
         request = self.served[0]
         self.assertEqual((request.id, request.caller_timeout, request.body), ("r1", 1.5, body))
 
+    @async_test
+    async def test_identity_of_a_request(self):
+        """Guards against requests of two callers, or two contents, that count as the same one."""
+        port = self.start()
+        for host, path in (
+            ("127.0.0.1", b"/a"),
+            ("127.0.0.1", b"/a"),
+            ("127.0.0.2", b"/a"),
+            ("127.0.0.1", b"/b"),
+        ):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port, local_addr=(host, 0))
+            writer.write(b"GET %s HTTP/1.1\r\nHost: a\r\n\r\n" % path)
+            await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+        first, again, other_caller, other_path = [each.fingerprints for each in self.served]
+        self.assertEqual(first, again)
+        self.assertEqual(first.content, other_caller.content)
+        self.assertNotEqual(first.caller, other_caller.caller)
+        self.assertNotEqual(first.content, other_path.content)
+
     @async_test
     async def test_persistent_connection(self):
         """Guards against closing a persistent connection after its first response."""
