Tell started and returning nodes which requests crash targets

Cause: the evidence was sent once, with the crash. A node that started later, or was cut off at that moment, was never told, and each restarted node let the request crash two more targets, 5 ms apart in the log (`target crashed`, counts 1 and 2, at one node each time): the node's own retry did not wait for the check whether the first target had died, and a node with evidence from others could run one retry too many.

Change: a node that starts asks its seeds for the records before it takes over the state with which it begins to serve; nodes of its zone send theirs to a process that they hear for the first time; blocks in force are repeated each second, by two nodes of the fleet on average to all, and by each of the others to one node of its zone, from which it also hears of an answer that it missed. A retry waits up to 50 ms for the check of the first target, which takes a round trip if its host is up.

Open: if all nodes start at once, the evidence is lost and two more targets may crash; a third such loss while the request keeps coming would break the rule.

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -38,7 +38,7 @@
 from orioleloftd.frontend import CallerServer
 from orioleloftd.logs import log_event
 from orioleloftd.noderegistrar import NodeRegistrar
-from orioleloftd.peering import STATE_PATH, DatagramEndpoint, StateExchange
+from orioleloftd.peering import CRASHES_PATH, STATE_PATH, DatagramEndpoint, StateExchange
 from orioleloftd.peerprotocol import PeerProtocol
 from orioleloftd.requestcontext import CallerReply, CallerRequest
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
@@ -142,7 +142,12 @@
         self._state_exchange = StateExchange(HttpClient(node_clock), settings.peer_endpoint.port)
         self._crash_tracker = CrashTracker()
         self._crash_dissemination = CrashDissemination(
-            self._crash_tracker, self._fleet, self._transport, node_clock
+            self._crash_tracker,
+            self._fleet,
+            self._transport,
+            self._state_exchange,
+            self._rng,
+            node_clock,
         )
         self._peer_protocol = PeerProtocol(
             fleet=self._fleet,
@@ -441,6 +446,9 @@
     # HTTP endpoints.
 
     def _serve_state(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
+        if path == CRASHES_PATH:
+            records = self._crash_dissemination.records_to_transfer()
+            return self._state_exchange.answer_crashes(records)
         if path != STATE_PATH:
             return 404, "text/plain", b"unknown path"
         nodes = (self._fleet.own_state, *self._fleet.alive())
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -48,6 +48,9 @@
 RETRY_AFTER_MAX_S = 1.3
 # Tokens of the shared retry budget that hedges leave for retries of failed attempts.
 RETRY_RESERVED_TOKENS = 0.5
+# Time for which a retry waits until it is known whether the target has crashed, in seconds. A host
+# that is up answers a connect within a few milliseconds.
+CRASH_CHECK_WAIT_S = 0.05
 
 _log = logging.getLogger(__name__)
 
@@ -415,7 +418,10 @@
                 self._recorder.on_failure(target, OVERSIZED_RESPONSE_WEIGHT)
                 return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
             self._recorder.on_failure(target)
-            self._start_crash_check(context, target)
+            check = self._start_crash_check(context, target)
+            if context.route.is_idempotent:
+                # A retry that runs ahead of the check could crash one target more than allowed.
+                await asyncio.wait({check}, timeout=CRASH_CHECK_WAIT_S)
             return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
         except asyncio.CancelledError:
             selected.connection.close()
@@ -499,13 +505,14 @@
 
     # Requests that crash targets.
 
-    def _start_crash_check(self, context: RequestContext, target: RegisteredTarget) -> None:
+    def _start_crash_check(self, context: RequestContext, target: RegisteredTarget) -> asyncio.Task:
         """Starts a background check whether a target has crashed that broke off its response."""
         task = asyncio.get_running_loop().create_task(
             self._run_crash_check(context.request, target)
         )
         self._crash_checks.add(task)
         task.add_done_callback(self._crash_checks.discard)
+        return task
 
     async def _run_crash_check(self, request: CallerRequest, target: RegisteredTarget) -> None:
         reason = await self._access.connection_failure(target)
--- a/packages/node/orioleloftd/peering.py
+++ b/packages/node/orioleloftd/peering.py
@@ -11,17 +11,25 @@
 import json
 import logging
 from collections.abc import Callable
+from typing import Any
 
 from orioleloft_core import messages, packing
+from orioleloft_core.crashes import CrashRecord
 from orioleloft_core.messages import Datagram, NodeState, OutgoingDatagram, StateVersions
 from orioleloft_core.registry import StateVersion
 from orioleloft_core.updates import StateUpdate
 from orioleloftd import codec
-from orioleloftd.connections import CONTROL_RESPONSE_LIMITS, ExchangeError, HttpClient
+from orioleloftd.connections import (
+    CONTROL_RESPONSE_LIMITS,
+    ExchangeError,
+    HttpClient,
+    HttpResponse,
+)
 from orioleloftd.controlserver import ControlResponse
 from orioleloftd.logs import log_event
 
 STATE_PATH = "/state"
+CRASHES_PATH = "/crashes"
 CONTENT_TYPE = "application/octet-stream"
 # Maximum size of a datagram, in bytes. Larger ones are fragmented, and losing one fragment loses
 # the whole datagram.
@@ -163,13 +171,28 @@
             f"{STATE_PATH}?known={_encode_versions(known)}{'&nodes=1' if includes_members else ''}"
         )
         answer = await self._client.call(host, self._port, "GET", path, timeout=FETCH_TIMEOUT_S)
-        if answer.status != 200:
-            raise ExchangeError(f"{host} answered {answer.status}", was_request_sent=True)
-        try:
-            values = codec.decode(answer.body, CONTROL_RESPONSE_LIMITS.body)
-            return packing.from_plain(StateTransfer, values)
-        except (ValueError, TypeError) as error:
-            raise ExchangeError(f"{host} sent no readable state: {error}", True) from error
+        return _decode_transfer(StateTransfer, host, answer)
+
+    def answer_crashes(self, records: tuple[CrashRecord, ...]) -> ControlResponse:
+        """Answers a request for the evidence on requests that crash targets."""
+        return 200, CONTENT_TYPE, codec.encode(packing.to_plain(CrashTransfer(records)))
+
+    async def fetch_crashes(self, host: str) -> tuple[CrashRecord, ...]:
+        """Requests from another node its evidence on requests that crash targets.
+
+        Args:
+            host: IP address of the node.
+
+        Raises:
+            ExchangeError: the request failed or its answer could not be decoded.
+        """
+        answer = await self._client.call(
+            host, self._port, "GET", CRASHES_PATH, timeout=FETCH_TIMEOUT_S
+        )
+        if answer.status == 404:
+            # A node of an earlier build.
+            return ()
+        return _decode_transfer(CrashTransfer, host, answer).records
 
 
 @dataclasses.dataclass(frozen=True)
@@ -186,6 +209,27 @@
     nodes: tuple[NodeState, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashTransfer:
+    """Answer to a request for the evidence on requests that crash targets."""
+
+    records: tuple[CrashRecord, ...]
+
+
+def _decode_transfer(cls: type, host: str, answer: HttpResponse) -> Any:
+    """Decodes an answer with an instance of `cls`.
+
+    Raises:
+        ExchangeError: the answer has another status or cannot be decoded.
+    """
+    if answer.status != 200:
+        raise ExchangeError(f"{host} answered {answer.status}", was_request_sent=True)
+    try:
+        return packing.from_plain(cls, codec.decode(answer.body, CONTROL_RESPONSE_LIMITS.body))
+    except (ValueError, TypeError) as error:
+        raise ExchangeError(f"{host} sent no readable state: {error}", True) from error
+
+
 def _encode_transfer(transfer: StateTransfer) -> bytes:
     return codec.encode(packing.to_plain(transfer))
 
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -130,6 +130,8 @@
     async def _fetch_from_seed(self, host: str, includes_members: bool) -> None:
         end = self._clock() + SEED_FETCH_TIMEOUT_S
         while not self._state.is_complete and self._clock() < end:
+            # With the state this node begins to serve, so the blocks come first.
+            await self._crashes.fetch(host)
             await self._fetch(host, includes_members)
             await asyncio.sleep(SEED_RETRY_S)
 
@@ -193,6 +195,7 @@
     def tick(self) -> None:
         """Sends due pings and fetches newer state; called every `membership.PING_PERIOD_S`."""
         self._transport.send(self._fleet.tick(self._clock()))
+        self._crashes.tick()
         self._log_nodes()
         self._fetch_newer_state(is_directly_announced=False)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 
 from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_core.crashes import CrashTracker, RequestFingerprints
 from orioleloft_core.entrysettings import Endpoint, EntrySettings, OperatorBounds
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.messages import NodeList, StoreAccess
@@ -20,7 +21,9 @@
     RouteTable,
     WeightedService,
 )
+from orioleloft_core.updates import StateUpdate
 from orioleloftd.entry import STOPPING_RETRY_AFTER_MAX_S, EntryNode, node_clock
+from orioleloftd.peering import StateTransfer
 from orioleloftd.requestcontext import CallerRequest
 from orioleloftd.storesync import StoreError
 from standins.processes import free_ports
@@ -142,6 +145,34 @@
         reply = await node.serve(request)
         self.assertEqual((reply.code, reply.status), (code, status))
 
+    @async_test
+    async def test_blocks_before_the_state(self):
+        """Guards against a restarted node that serves before it knows what crashes targets."""
+        node = self.start(InMemoryStore(is_up=False), seeds=(Endpoint("seed", 1),))
+        fingerprints = RequestFingerprints("caller", "content")
+        records = [
+            record
+            for process in "ab"
+            for record in CrashTracker().on_crash(0.0, fingerprints, process)
+        ]
+        was_ready = []
+
+        async def fetch_crashes(host):
+            was_ready.append(node.is_ready)
+            return records
+
+        async def fetch(host, known, includes_members):
+            return StateTransfer(
+                StateUpdate(TABLE, TargetList(StateVersion(5, 1), (TARGET,)), None), ()
+            )
+
+        node._state_exchange.fetch_crashes = fetch_crashes
+        node._state_exchange.fetch = fetch
+        await node.start()
+        await self.wait_until_ready(node)
+        self.assertEqual(was_ready, [False])
+        self.assertTrue(node._crash_tracker.is_blocked(node_clock(), fingerprints))
+
     @async_test
     async def test_unexpected_exception(self):
         """Guards against a closed connection in place of an answer, with all requests on it."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -373,6 +373,25 @@
         self.assertEqual(len(crashed), CRASH_LIMITS[CrashScope.CALLER])
         self.assertEqual((await self.send(path="/good")).status, 200)
 
+    @async_test
+    async def test_retry_after_a_crash(self):
+        """Guards against a retry that runs ahead of the finding that the first target crashed."""
+        self.start(*[Behaviour(crashing_path="/bad")] * 4)
+        request = CallerRequest("x", "GET", "a", "/bad", None, b"", 0.0, 1.0, "c")
+        others = CrashTracker().on_crash(0.0, request.fingerprints, "process of another node's")
+        for record in others:
+            self.crashes.merge(time.monotonic(), record)
+        check = self.forwarder.access.connection_failure
+
+        async def check_slowly(target):
+            await asyncio.sleep(0.02)
+            return await check(target)
+
+        self.forwarder.access.connection_failure = check_slowly
+        reply = await self.send(path="/bad")
+        self.assertEqual((reply.status, reply.code), (502, ErrorCode.TARGET_BROKE_OFF))
+        self.assertEqual(len(self.runs), 1)
+
     @async_test
     async def test_request_of_many_callers_that_crashes_targets(self):
         """Guards against a harmful request that each of its callers may try anew (BUDGET)."""
