--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -5,6 +5,7 @@
 """
 
 import copy
+import ipaddress
 import tempfile
 import unittest
 
@@ -16,7 +17,7 @@
 from orioleloft_adapter.decoding import DecodingError, decode_table, decode_target
 from orioleloft_adapter.headers import PlatformHeaders
 from orioleloft_adapter.settings import parse_settings, read_settings
-from orioleloft_core import messages
+from orioleloft_core import messages, packing
 from orioleloft_core import note as notes
 from orioleloft_core.errors import NoteError, SettingsError
 from orioleloft_core.routes import RouteTable
@@ -31,6 +32,8 @@
 ODD_TEXT = st.one_of(
     st.text(max_size=40),
     st.sampled_from(["²", "٣", "nan", "-1", "inf", "1" * 400, "\ufeff", "\0", "r1", "5s", "-5s"]),
+    # JSON can have lone surrogates, which UTF-8 cannot encode.
+    st.sampled_from(["\ud800", "a\udfff", "\ufffd\ufffd.64.13:80", "localhost:80", "a\r\nb"]),
 )
 ODD_VALUE = st.recursive(
     st.one_of(
@@ -95,7 +98,7 @@
     for key in path[:-1]:
         parent = parent[key]
     if draw(st.booleans()):
-        parent[path[-1]] = draw(st.one_of(ODD_NUMBER, ODD_VALUE))
+        parent[path[-1]] = draw(st.one_of(ODD_NUMBER, ODD_TEXT, ODD_VALUE))
     else:
         del parent[path[-1]]
     return copied
@@ -158,12 +161,16 @@
     @settings(max_examples=examples(200))
     @given(st.one_of(ODD_VALUE, broken(target_object())))
     def test_target(self, item):
-        """Guards against a malformed registration that ends the watch."""
+        """Guards against a malformed registration that ends the watch, or requests later on."""
         try:
             target = decode_target(item)
         except DecodingError:
             return
         self.assertTrue(0 < target.port < 65536 and target.slots > 0)
+        ipaddress.ip_address(target.host)
+        codec.encode(packing.to_plain(target))
+        headers = httputil.HTTPHeaders({wire.EXPECTED_TARGET: target.id})
+        self.assertEqual(httputil.HTTPHeaders.parse(str(headers)), headers)
 
     @settings(max_examples=examples(200))
     @given(st.binary(max_size=200))
@@ -178,7 +185,7 @@
         try:
             data = codec.encode(values)
         except (OverflowError, ValueError, TypeError):
-            return  # No node can send integers of 30 digits.
+            return  # No node can send integers of 30 digits, or text that UTF-8 cannot encode.
         self.assert_datagram_is_typed(data)
 
     def assert_datagram_is_typed(self, data):
