Keep the requests that are blocked in the store, for a start of all nodes at once

Change: the first of the nodes that read the store saves each block in force as one object (`orioleloft-blocked-requests/FINGERPRINT`), replaces it after further crashes, and removes it with the block. A node that no peer has answered reads them, stale, with the rest of the state; that is a tenth of a call for each, only at such a start. The age of a record is not saved, as nodes have no common clock: such a block begins anew. A node that does not write notes what is saved, so that it can remove it later.

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -32,6 +32,7 @@
 from orioleloft_core.updates import StateUpdate
 from orioleloftd.connections import HttpClient
 from orioleloftd.controlserver import ControlResponse, ControlServer
+from orioleloftd.crasharchive import CrashArchive
 from orioleloftd.crashdissemination import CrashDissemination
 from orioleloftd.exposition import NodeMetrics
 from orioleloftd.forwarding import Forwarder
@@ -163,6 +164,9 @@
         self._store_sync = StoreSync(
             store, self._state, self._is_watcher, self._on_store_access, node_clock, self._rng
         )
+        self._crash_archive = CrashArchive(
+            self._crash_tracker, store, self._fleet, self._store_sync, node_clock
+        )
         self._registrar = NodeRegistrar(store, self._fleet, self._store_sync, node_clock, self._rng)
         self._rate_limits = RateLimits(settings.name, lambda: self._fleet.zones, unix_time_ms)
         self._forwarder = self._make_forwarder()
@@ -320,6 +324,7 @@
             await asyncio.sleep(MEMBERSHIP_DISCOVERY_S)
         # From here on this node may be selected as a watcher.
         self._peer_protocol.update(store=StoreAccess.READY)
+        self._spawn(self._crash_archive.run())
         await self._registrar.run()
 
     async def _read_initial_state(self) -> None:
@@ -329,7 +334,9 @@
         the watchers disseminate newer versions.
         """
         try:
-            (table, _), targets, closed = await asyncio.gather(
+            # The blocks come first, as with the rest this node begins to serve.
+            _, (table, _), targets, closed = await asyncio.gather(
+                self._crash_archive.load(),
                 self._store.read_table(allow_stale=True),
                 self._store.read_targets(allow_stale=True),
                 self._store.read_closed_zones(allow_stale=True),
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from orioleloft_core.budget import Backoff
+from orioleloft_core.crashes import CrashRecord
 from orioleloft_core.messages import NodeList, StoreAccess
 from orioleloft_core.registry import ClosedZones, RegisteredTarget, TargetList
 from orioleloft_core.routes import RouteTable
@@ -128,6 +129,15 @@
     async def write_registered_nodes(self, registered: NodeList) -> bool:
         """Replaces the registered nodes; returns False if they have changed since the read."""
 
+    async def read_blocked_requests(self) -> list[CrashRecord]:
+        """Returns the saved requests that were blocked because they crash targets."""
+
+    async def save_blocked_request(self, record: CrashRecord) -> None:
+        """Saves a request that is blocked, or replaces what was saved of it."""
+
+    async def remove_blocked_request(self, fingerprint: str) -> None:
+        """Removes a saved request that is not blocked any more."""
+
 
 class StoreListener(Protocol):
     """Receives the results of reads and watches."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -60,6 +60,9 @@
         content = ClosedZones(StateVersion(5, 1), ())
         return await self._reply(f"{'old ' * allow_stale}read zones", content)
 
+    async def read_blocked_requests(self):
+        return await self._reply("old read blocked requests", [])
+
     async def read_registered_nodes(self):
         return await self._reply("read nodes", self.registered_nodes)
 
@@ -111,9 +114,8 @@
         node._state_exchange._port = port
         await node.start()
         await self.wait_until_ready(node)
-        self.assertEqual(
-            node._store.calls, ["old read table", "old read targets", "old read zones"]
-        )
+        reads = ["blocked requests", "table", "targets", "zones"]
+        self.assertEqual(node._store.calls, [f"old read {kind}" for kind in reads])
         self.assertEqual(len(open_connections), 1)
         self.assertTrue(node._tasks)
         server.close()
