--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -124,6 +124,14 @@
         self.assertGreaterEqual(after, name)
         self.assertLess(after, "b" * 255 + "c")
 
+    @params(b"null", b"{}", b'{"items": null, "at": 9}', b'{"items": {}, "at": 9}', b"[" * 10**5)
+    @async_test
+    async def test_list_that_is_none(self, body):
+        """Guards against an untyped exception for which the store does not count as lost."""
+        store, _ = make_store(body)
+        with self.assertRaises(StoreError):
+            await store.read_targets()
+
     @async_test
     async def test_page_without_names(self):
         """Guards against a list that is taken as whole though its next page cannot be asked for."""
