Types for tenants, allotments and roll-outs, and optional fields in messages

Cause: three customers need state that no message, setting or table can hold: tenants with keys, bounds on allotments and roll-outs, versions of targets, capacities of nodes. Every new field of an encoded class made the nodes of the last build refuse the whole datagram.

Change: a class names its optional last fields; they are left out while they equal their defaults. Tables have tenants and public routes, as digests of keys only.

--- a/packages/core/orioleloft_core/entrysettings.py
+++ b/packages/core/orioleloft_core/entrysettings.py
@@ -17,6 +17,36 @@
     port: int
 
 
+@dataclasses.dataclass(frozen=True)
+class AllotmentBounds:
+    """How far the requests of a tenant may exceed its allotment, over all nodes together.
+
+    Attributes:
+        window: length of the window in which requests count, in seconds.
+        overage: share of the allotment that may be exceeded in a window.
+        slack: requests allowed in a window on top.
+    """
+
+    window: float
+    overage: float
+    slack: float
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutBounds:
+    """Limits on the requests that a new version of targets gets while it is not known to be good.
+
+    Attributes:
+        expose_share: share of the requests of the service.
+        expose_slack: requests allowed on top.
+        rollback: time after the 50th bad answer from which it must get nothing, in seconds.
+    """
+
+    expose_share: float
+    expose_slack: float
+    rollback: float
+
+
 @dataclasses.dataclass(frozen=True)
 class OperatorBounds:
     """Limits that the operators set; times in seconds.
@@ -32,6 +62,8 @@
         extra_cold_rate: requests per second allowed to a cold target on top of the multiplied rate.
         max_address_ttl: maximum TTL of the entry addresses that callers receive.
         probe_rate_per_target: probes per second and target allowed to the fleet, as a daily mean.
+        allotments: limits on tenants, or None where the deployment has no allotments.
+        rollouts: limits on roll-outs, or None where the deployment has no roll-outs.
     """
 
     grace_period: float = 6.0
@@ -42,6 +74,8 @@
     extra_cold_rate: float = 5.0
     max_address_ttl: float = 5.0
     probe_rate_per_target: float = 60.0
+    allotments: AllotmentBounds | None = None
+    rollouts: RolloutBounds | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/core/orioleloft_core/errors.py
+++ b/packages/core/orioleloft_core/errors.py
@@ -17,6 +17,9 @@
     MALFORMED_REQUEST = "malformed-request"
     REQUEST_TOO_LARGE = "request-too-large"
     UNKNOWN_ROUTE = "unknown-route"
+    UNKNOWN_KEY = "unknown-key"
+    ALLOTMENT_EXCEEDED = "allotment-exceeded"
+    ALLOTMENT_UNAVAILABLE = "allotment-unavailable"
     NO_CAPACITY = "no-capacity"
     DEADLINE_AFTER_START = "deadline-after-start"
     TARGETS_RATE_LIMITED = "targets-rate-limited"
@@ -58,6 +61,11 @@
     ErrorCode.UNKNOWN_ROUTE: ErrorResponse(
         404, _NOT_RUN, "Use a host and path that a release note has added."
     ),
+    ErrorCode.UNKNOWN_KEY: ErrorResponse(
+        401, _NOT_RUN, "Send an API key that the configuration in force holds."
+    ),
+    ErrorCode.ALLOTMENT_EXCEEDED: ErrorResponse(429, _NOT_RUN, _RETRY_AFTER),
+    ErrorCode.ALLOTMENT_UNAVAILABLE: ErrorResponse(503, _NOT_RUN, _RETRY_AFTER),
     ErrorCode.NO_CAPACITY: ErrorResponse(503, _NOT_RUN, _RETRY_AFTER),
     ErrorCode.TARGETS_RATE_LIMITED: ErrorResponse(503, _NOT_RUN, _RETRY_AFTER),
     ErrorCode.DEADLINE_AFTER_START: ErrorResponse(504, _UNKNOWN, _CHECK_RESULT),
--- a/packages/core/orioleloft_core/hashing.py
+++ b/packages/core/orioleloft_core/hashing.py
@@ -27,6 +27,14 @@
     return digest.hexdigest()
 
 
+def key_digest(key: str) -> str:
+    """Returns the digest by which nodes know an API key, which they neither keep nor exchange.
+
+    Keys are long random texts, so the digest needs no salt, and all nodes get the same one.
+    """
+    return hashlib.blake2b(key.encode(), digest_size=16, person=b"api key").hexdigest()
+
+
 def _score(key: str, candidate: str) -> bytes:
     text = f"{key}\0{candidate}".encode()
     return hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -25,11 +25,15 @@
         table: version of the route table, 0 for none.
         targets: version of the target list.
         closed_zones: version of the set of closed availability zones.
+        rollouts: version of the roll-outs of target versions.
     """
 
     table: int = 0
     targets: StateVersion = StateVersion()
     closed_zones: StateVersion = StateVersion()
+    rollouts: StateVersion = StateVersion()
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("rollouts",)
 
 
 class StoreAccess(enum.IntEnum):
@@ -61,6 +65,7 @@
         is_busy: whether the node is at its capacity.
         store: access to the platform's store.
         state_versions: versions of the shared state that the node holds.
+        capacity: what the node can bear, relative to others; 0 if it is not known.
     """
 
     name: str
@@ -73,6 +78,9 @@
     is_busy: bool
     store: StoreAccess
     state_versions: StateVersions
+    capacity: float = 0.0
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("capacity",)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -318,4 +326,5 @@
         other.table > own.table
         or other.targets > own.targets
         or other.closed_zones > own.closed_zones
+        or other.rollouts > own.rollouts
     )
--- a/packages/core/orioleloft_core/packing.py
+++ b/packages/core/orioleloft_core/packing.py
@@ -3,6 +3,11 @@
 A data class becomes the list of its field values in the order of the fields. Where the type of a
 field is a union of data classes, the list starts with the encoded name of the class as a tag.
 
+A class can get new fields at its end while nodes of both versions run. It names them in a class
+variable; they are left out while they equal their defaults, and may be missing in what is decoded:
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("new_field",)
+
 The encoded name is the class name, unless the class states another one in a class variable, so
 that a class can be renamed while nodes of both versions run:
 
@@ -99,16 +104,34 @@
     encoders = [_encoder(hint, text_only) for hint in hints.values()]
     converted = [(index, encode) for index, encode in enumerate(encoders) if encode is not None]
     fields = _fields_getter(tuple(hints))
+    defaults = _trailing_defaults(cls)
 
     def encode_fields(value: Any) -> list[Any]:
         plain = list(fields(value))
+        for default in defaults:
+            if plain[-1] != default:
+                break
+            plain.pop()
         for index, encode in converted:
-            plain[index] = encode(plain[index])
+            if index < len(plain):
+                plain[index] = encode(plain[index])
         return plain
 
     return encode_fields
 
 
+def _trailing_defaults(cls: type) -> list[Any]:
+    """Returns the defaults of the optional fields at the end of a class, the last field first.
+
+    Only fields that a class states in `optional_fields` count. All nodes send the others.
+    """
+    optional = getattr(cls, "optional_fields", ())
+    fields = {field.name: field for field in dataclasses.fields(cls)}
+    if tuple(fields)[len(fields) - len(optional) :] != tuple(optional):
+        raise ValueError(f"the optional fields of {cls.__name__} are not its last ones.")
+    return [fields[name].default for name in reversed(optional)]
+
+
 def _fields_getter(names: tuple[str, ...]) -> Converter:
     if len(names) > 1:
         return operator.attrgetter(*names)
@@ -154,14 +177,15 @@
 def _class_decoder(cls: type) -> Converter:
     hints = tuple(_field_types(cls).values())
     decoders = [_decoder(cls, hint) for hint in hints]
+    required = len(hints) - len(_trailing_defaults(cls))
 
     def decode_fields(values: Sequence[Any]) -> Any:
-        if len(values) != len(hints):
+        if not required <= len(values) <= len(hints):
             raise ValueError(f"{cls.__name__} has {len(values)} fields instead of {len(hints)}.")
         # Fast path for a class with only scalar fields: one comparison checks all types.
         if tuple(map(type, values)) == hints:
             return cls(*values)
-        return cls(*[decode(value) for decode, value in zip(decoders, values, strict=True)])
+        return cls(*[decode(value) for decode, value in zip(decoders, values, strict=False)])
 
     return decode_fields
 
--- a/packages/core/orioleloft_core/registry.py
+++ b/packages/core/orioleloft_core/registry.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Iterable
+from typing import ClassVar
 
 
 @dataclasses.dataclass(frozen=True)
@@ -17,6 +18,7 @@
         slots: requests that the target runs concurrently.
         is_draining: whether the target finishes its requests and accepts no new ones.
         started_ms: start of its process, in Unix milliseconds; it tells restarts apart.
+        version: version of its software, empty in deployments without roll-outs.
     """
 
     id: str
@@ -27,6 +29,9 @@
     slots: int
     is_draining: bool
     started_ms: int
+    version: str = ""
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("version",)
 
 
 @dataclasses.dataclass(frozen=True, order=True)
--- a/packages/core/orioleloft_core/routes.py
+++ b/packages/core/orioleloft_core/routes.py
@@ -5,6 +5,7 @@
 import enum
 import functools
 import random
+from typing import ClassVar
 
 
 class RouteKind(enum.StrEnum):
@@ -41,6 +42,7 @@
         priority: priority class; 0 is the most urgent.
         attempts: maximum number of targets that one request may be sent to.
         weighted_services: traffic split over services.
+        is_public: whether requests need no API key although the table has tenants.
     """
 
     name: str
@@ -52,6 +54,9 @@
     priority: int
     attempts: int
     weighted_services: tuple[WeightedService, ...]
+    is_public: bool = False
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("is_public",)
 
     @property
     def is_idempotent(self) -> bool:
@@ -78,6 +83,30 @@
     cold_start: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Tenant:
+    """A team whose callers present one of its API keys, with its allotment.
+
+    Attributes:
+        name: unique name of the tenant.
+        key_digests: digests of its API keys; see `hashing.key_digest`.
+        priority: priority class, which goes before that of the route; None for the route's.
+        rate_per_s: requests per second that all nodes together may pass on; 0 for no limit.
+        burst: requests allowed on top of the rate.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = dataclasses.field(repr=False)
+    priority: int | None
+    rate_per_s: float
+    burst: float
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the tenant has an allotment."""
+        return self.rate_per_s > 0
+
+
 @dataclasses.dataclass(frozen=True)
 class CallerLimits:
     """Limits on requests and connections of callers.
@@ -101,12 +130,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class RouteTable:
-    """Routes, services and caller limits of one version of the configuration."""
+    """Routes, services, caller limits and tenants of one version of the configuration."""
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[RoutedService, ...]
     limits: CallerLimits
+    tenants: tuple[Tenant, ...] = ()
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("tenants",)
 
     @functools.cached_property
     def _routes_by_host(self) -> dict[str, dict[str, Route]]:
@@ -119,6 +151,14 @@
     def _services_by_name(self) -> dict[str, RoutedService]:
         return {service.name: service for service in self.services}
 
+    @functools.cached_property
+    def _tenants_by_digest(self) -> dict[str, Tenant]:
+        return {digest: tenant for tenant in self.tenants for digest in tenant.key_digests}
+
+    def tenant_of(self, key_digest: str | None) -> Tenant | None:
+        """Returns the tenant that holds the key with this digest, or None."""
+        return None if key_digest is None else self._tenants_by_digest.get(key_digest)
+
     def primary_service(self, host: str) -> str | None:
         """Returns the service that most routes of a host lead to.
 
--- a/packages/core/orioleloft_core/updates.py
+++ b/packages/core/orioleloft_core/updates.py
@@ -7,10 +7,10 @@
 import collections
 import dataclasses
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, ClassVar
 
 from orioleloft_core.registry import ClosedZones, RegisteredTarget, StateVersion, TargetList
-from orioleloft_core.routes import CallerLimits, Route, RoutedService, RouteTable
+from orioleloft_core.routes import CallerLimits, Route, RoutedService, RouteTable, Tenant
 
 # Versions that deltas can start from. Operators publish up to three versions a second, so 16 reach
 # back five seconds; a node that was away for longer gets a snapshot.
@@ -29,6 +29,8 @@
         removed_routes: host and path prefix of the routes removed.
         services: services added or changed.
         removed_services: names of the services removed.
+        tenants: tenants added or changed.
+        removed_tenants: names of the tenants removed.
     """
 
     base_version: int
@@ -38,6 +40,10 @@
     removed_routes: tuple[tuple[str, str], ...]
     services: tuple[RoutedService, ...]
     removed_services: tuple[str, ...]
+    tenants: tuple[Tenant, ...] = ()
+    removed_tenants: tuple[str, ...] = ()
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("tenants", "removed_tenants")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,17 +95,27 @@
 def table_delta(old: RouteTable, new: RouteTable) -> TableDelta:
     """Computes the delta from one route table to a later one."""
     routes, removed_routes = _diff(old.routes, new.routes, _route_key)
-    services, removed_services = _diff(old.services, new.services, _service_key)
+    services, removed_services = _diff(old.services, new.services, _name)
+    tenants, removed_tenants = _diff(old.tenants, new.tenants, _name)
     return TableDelta(
-        old.version, new.version, new.limits, routes, removed_routes, services, removed_services
+        old.version,
+        new.version,
+        new.limits,
+        routes,
+        removed_routes,
+        services,
+        removed_services,
+        tenants,
+        removed_tenants,
     )
 
 
 def apply_table_delta(old: RouteTable, delta: TableDelta) -> RouteTable:
     """Returns the later table; `old` must have the base version of the delta."""
     routes = _merged(old.routes, delta.routes, delta.removed_routes, _route_key)
-    services = _merged(old.services, delta.services, delta.removed_services, _service_key)
-    return RouteTable(delta.version, routes, services, delta.limits)
+    services = _merged(old.services, delta.services, delta.removed_services, _name)
+    tenants = _merged(old.tenants, delta.tenants, delta.removed_tenants, _name)
+    return RouteTable(delta.version, routes, services, delta.limits, tenants)
 
 
 def apply_target_delta(old: TargetList, delta: TargetDelta) -> TargetList:
@@ -112,8 +128,8 @@
     return route.host, route.path_prefix
 
 
-def _service_key(service: RoutedService) -> str:
-    return service.name
+def _name(item: RoutedService | Tenant) -> str:
+    return item.name
 
 
 def _target_key(target: RegisteredTarget) -> str:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -38,6 +38,7 @@
 ROUTE = ["r", "a.example", "/p/", "non-idempotent", 5.0, 1.0, 2, 3, [["s", 1.0]]]
 SERVICE = ["s", "/health", 250, 2.0, 8.0]
 TABLE = ["RouteTable", 7, [ROUTE], [SERVICE], LIMITS]
+TENANT = ["t", ["5f"], None, 2.5, 10.0]
 TARGET = ["t1", "s", "10.0.1.1", 80, "za", 2, False, 12]
 UPDATE = [
     ["TableDelta", 6, 7, LIMITS, [ROUTE], [["a.example", "/q/"]], [SERVICE], ["u"]],
@@ -54,6 +55,8 @@
         ["Introduction", STATE, [STATE]],
         ["News", STATE, UPDATE, 1],
         ["News", STATE, [TABLE, ["TargetList", [8, 1], [TARGET]], None], 0],
+        ["News", STATE, [[*TABLE, [TENANT]], None, None], 0],
+        ["News", STATE, [[*TABLE[:2], [[*ROUTE, True]], *TABLE[3:], [TENANT]], None, None], 0],
         ["DownClaim", STATE, [["n2", 4]], True, 2],
         ["TargetSign", STATE, "t1", 1.0, 2.5, 0],
         ["CrashReport", STATE, [["ab12", 0, ["p1", "p2"], ["p1"], 2.5]], 0],
