Revisions of the store with the era of the store

Cause: a store that is restored from an older copy issues the lost revisions again. A number alone then does not tell which object or which point of the history is meant.

Change: StoreRevision packs era and revision into one number, which orders like the pair and equals the revision while the store states no era.

--- a/packages/core/orioleloft_core/registry.py
+++ b/packages/core/orioleloft_core/registry.py
@@ -4,6 +4,36 @@
 from collections.abc import Iterable
 from typing import ClassVar
 
+# Bits of a packed number that hold the revision. With the greatest era, 2**18, the number stays
+# below 2**63, the limit of msgpack and of the log's readers.
+REVISION_BITS = 44
+MAX_REVISION = 2**REVISION_BITS - 1
+MAX_ERA = 2**18
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class StoreRevision:
+    """Revision of the store together with the era in which the store issued it.
+
+    Attributes:
+        era: number of the store's era, which rises each time the store is restored from an older
+            copy; 0 if the store states none.
+        revision: revision within the era; a restored store issues the lost ones again.
+    """
+
+    era: int
+    revision: int
+
+    @property
+    def number(self) -> int:
+        """Both values packed into one integer, which orders like the pair."""
+        return (self.era << REVISION_BITS) + self.revision
+
+    @classmethod
+    def from_number(cls, number: int) -> "StoreRevision":
+        """Unpacks what `number` returned."""
+        return cls(number >> REVISION_BITS, number & MAX_REVISION)
+
 
 @dataclasses.dataclass(frozen=True)
 class RegisteredTarget:
@@ -39,14 +69,20 @@
     """Version of one part of the state that nodes share; versions compare, and greater is newer.
 
     Attributes:
-        revision: revision of the store.
-        is_settled: 0 while removals seen after an outage of the store are deferred, else 1. A list
-            with all removals is thus newer than one of the same revision without them.
+        revision: revision of the store, packed with its era; see `StoreRevision.number`.
+        is_settled: 0 while removals seen after an outage or a restore of the store are deferred,
+            else 1. A list with all removals is thus newer than one of the same revision without
+            them.
     """
 
     revision: int = 0
     is_settled: int = 0
 
+    @property
+    def era(self) -> int:
+        """Era of the store in which the revision was issued."""
+        return StoreRevision.from_number(self.revision).era
+
 
 @dataclasses.dataclass(frozen=True)
 class TargetList:
@@ -112,7 +148,7 @@
         the revision of a watch also advances while no target changes.
 
         Args:
-            revision: revision of the store that the changes lead to.
+            revision: packed revision of the store that the changes lead to.
             changed: targets that were registered or changed.
             removed: ids of targets that were removed.
 
