Nodes keep what a restored store would revert

Cause: after a restore the list of targets has removed targets again and lacks running ones, and the closed zones are those of the copy.

Change: the first list of a new era is applied with removals deferred, and again completely after 2.2 s. Removed and draining targets that the node knows of stay so until an event of the new era names them. Closed zones are held for the same time. A node that hears of a new era ends its watches of the earlier one. Gauge store_era, log line "store restored".

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -387,6 +387,7 @@
             self._applied_table = table
             self._traffic_splitter.retain_routes(table.routes)
             self._caller_server.apply_limits(table.limits)
+        self._store_sync.note_era(self._state.era)
         before = self._fleet.own_state
         self._fleet.set_state_versions(self._state.state_versions)
         if self.is_ready and not before.is_ready:
@@ -467,6 +468,7 @@
         self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
         self._metrics.set_gauge("blocked_requests", self._crash_tracker.blocked_count)
         self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
+        self._metrics.set_gauge("store_era", self._state.era)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
 
     def entry_hosts(self, zone: str, service_host: str) -> list[str]:
--- a/packages/node/orioleloftd/sharedstate.py
+++ b/packages/node/orioleloftd/sharedstate.py
@@ -1,16 +1,25 @@
 """Route table, registered targets and closed zones that are in force on this node.
 
 Updates come from the store, if this node is a watcher, and from other nodes. Versions are
-monotonic: an older one never replaces a newer one, in whatever order updates arrive.
+monotonic: an older one never replaces a newer one, in whatever order updates arrive. After a
+restore of the store, `orioleloft_core.restore` keeps what the older copy would revert.
 """
 
+import dataclasses
 import enum
 import logging
 from collections.abc import Callable, Iterable
 
-from orioleloft_core import updates
+from orioleloft_core import restore, updates
 from orioleloft_core.messages import StateVersions
-from orioleloft_core.registry import ClosedZones, TargetList, TargetRegistry, defer_removals
+from orioleloft_core.registry import (
+    ClosedZones,
+    StateVersion,
+    TargetList,
+    TargetRegistry,
+    defer_removals,
+)
+from orioleloft_core.restore import TargetMemory, ZoneMemory
 from orioleloft_core.routes import RouteTable
 from orioleloft_core.updates import (
     StateUpdate,
@@ -51,6 +60,8 @@
         self._registry = TargetRegistry()
         self._table_history = TableHistory()
         self._target_history = TargetHistory()
+        self._target_memory = TargetMemory()
+        self._zone_memory = ZoneMemory()
 
     @property
     def table(self) -> RouteTable | None:
@@ -76,6 +87,12 @@
             self._registry.closed_zones.version,
         )
 
+    @property
+    def era(self) -> int:
+        """Highest era of the store that this node has seen in a part of the state."""
+        versions = self.state_versions
+        return max(versions.targets.era, versions.closed_zones.era)
+
     # Results from the store; see `storesync.StoreListener`.
 
     def on_table(self, table: RouteTable) -> None:
@@ -85,33 +102,60 @@
 
     def on_targets(self, targets: TargetList) -> None:
         """Replaces the target list if the given complete one is newer."""
-        if self._replace_targets(targets, STORE):
+        if self._replace_targets(self._target_memory.corrected(targets), STORE):
             self._on_change(ChangeOrigin.STORE)
 
     def on_target_changes(self, changes: TargetChanges) -> None:
         """Applies target changes that this node's watch has delivered."""
+        old = self._registry.target_list
+        self._target_memory.forget([target.id for target in changes.changed])
+        self._target_memory.forget(changes.removed)
         if not self._registry.apply_watch_changes(
             changes.revision, changes.changed, changes.removed
         ):
             return
+        self._target_memory.observe(old, self._registry.target_list)
         self._record_changes(
             [target.id for target in changes.changed], changes.removed, WATCH_SOURCE
         )
         self._on_change(ChangeOrigin.STORE)
 
     def on_incomplete_targets(self, targets: TargetList) -> None:
-        """Applies a list that may lack running targets after an outage; removes none of them."""
-        self.on_targets(defer_removals(self._registry.target_list, targets))
+        """Applies a list that may lack running targets or be outdated; removes none of them."""
+        in_force = self._registry.target_list
+        if not targets.version.era:
+            self.on_targets(defer_removals(in_force, targets))
+            return
+        corrected = self._target_memory.corrected(targets)
+        if self._replace_targets(restore.merge_targets(in_force, corrected), STORE):
+            self._on_change(ChangeOrigin.STORE)
 
     def on_closed_zones(self, closed: ClosedZones) -> None:
         """Replaces the closed availability zones if the given ones are newer."""
         if self._replace_closed_zones(closed, STORE):
             self._on_change(ChangeOrigin.STORE)
 
+    def on_outdated_closed_zones(self, closed: ClosedZones, named: frozenset[str]) -> None:
+        """Keeps the closed zones in force and takes only what the copy cannot revert.
+
+        Args:
+            closed: the zones read from the restored store.
+            named: zones that events of the new era have closed or opened.
+        """
+        held = self._zone_memory.held(self._registry.closed_zones, closed, named)
+        if self._replace_closed_zones(held, STORE):
+            self._on_change(ChangeOrigin.STORE)
+
     # Updates from other nodes, and the initial read.
 
     def apply_initial(self, update: StateUpdate) -> None:
         """Applies the result of the initial read, which is not disseminated."""
+        targets, closed = update.targets, update.closed_zones
+        if targets is not None:
+            targets = dataclasses.replace(targets, version=restore.initial_version(targets.version))
+        if closed is not None:
+            closed = dataclasses.replace(closed, version=restore.initial_version(closed.version))
+        update = dataclasses.replace(update, targets=targets, closed_zones=closed)
         if self._apply_parts(update, STORE):
             self._on_change(ChangeOrigin.INITIAL_READ)
 
@@ -138,13 +182,34 @@
                 self._replace_table(updates.apply_table_delta(self._table, delta), source)
         match update.targets:
             case TargetList() as targets:
-                self._replace_targets(targets, source)
+                self._replace_targets(self._merged_with_own(targets), source)
             case TargetDelta(base_version=base_version) as delta if base_version <= before.targets:
                 self._apply_target_delta(delta, source)
-        if update.closed_zones is not None:
-            self._replace_closed_zones(update.closed_zones, source)
+        match update.closed_zones:
+            case ClosedZones() as closed if self._is_first_of_its_era(
+                self._registry.closed_zones.version, closed.version
+            ):
+                held = self._zone_memory.held(self._registry.closed_zones, closed)
+                self._replace_closed_zones(held, source)
+            case ClosedZones() as closed:
+                self._replace_closed_zones(closed, source)
         return self.state_versions != before
 
+    def _merged_with_own(self, targets: TargetList) -> TargetList:
+        """Returns another node's list, merged with what this node knows if it has to be.
+
+        A node that started just after a restore has nothing to merge the copy with, so the first
+        unsettled list of an era is merged here once more.
+        """
+        in_force = self._registry.target_list
+        if not self._is_first_of_its_era(in_force.version, targets.version):
+            return targets
+        return restore.merge_targets(in_force, self._target_memory.corrected(targets))
+
+    @staticmethod
+    def _is_first_of_its_era(in_force: StateVersion, new: StateVersion) -> bool:
+        return new.era > in_force.era and not new.is_settled
+
     def update_since(self, known: StateVersions) -> StateUpdate:
         """Returns the update, in deltas where possible, for a node with the given versions."""
         table, targets, closed = None, None, None
@@ -168,8 +233,11 @@
         return True
 
     def _replace_targets(self, targets: TargetList, source: str) -> bool:
+        old = self._registry.target_list
         if not self._registry.replace_targets(targets):
             return False
+        self._target_memory.observe(old, targets)
+        self._log_restore(old.version, targets.version, source)
         self._target_history.reset(targets.version)
         self._log_targets(source)
         return True
@@ -180,6 +248,7 @@
         if not current.version.is_settled:
             return
         if self._registry.replace_targets(updates.apply_target_delta(current, delta)):
+            self._target_memory.observe(current, self._registry.target_list)
             self._record_changes([target.id for target in delta.targets], delta.removed, source)
 
     def _record_changes(self, changed: Iterable[str], removed: Iterable[str], source: str) -> None:
@@ -198,10 +267,15 @@
             source=source,
         )
 
+    def _log_restore(self, old: StateVersion, new: StateVersion, source: str) -> None:
+        if old.revision and new.era > old.era:
+            log_event(_log, "store restored", old=old.era, new=new.era, source=source)
+
     def _replace_closed_zones(self, closed: ClosedZones, source: str) -> bool:
-        before = self._registry.closed_zones.zones
+        before = self._registry.closed_zones
         if not self._registry.replace_closed_zones(closed):
             return False
-        if closed.zones != before:
+        self._zone_memory.observe(before, closed)
+        if closed.zones != before.zones:
             log_event(_log, "closed zones in force", zones=closed.zones, source=source)
         return True
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -9,8 +9,9 @@
 
 from orioleloft_core.budget import Backoff
 from orioleloft_core.crashes import CrashRecord
-from orioleloft_core.messages import NodeList, StoreAccess
-from orioleloft_core.registry import ClosedZones, RegisteredTarget, TargetList
+from orioleloft_core.messages import NodeList, StateVersions, StoreAccess
+from orioleloft_core.registry import ClosedZones, RegisteredTarget, StoreRevision, TargetList
+from orioleloft_core.restore import RestoreHold
 from orioleloft_core.routes import RouteTable
 from orioleloftd.logs import log_event
 
@@ -30,8 +31,8 @@
 # Time allowed for the answer of a watch after its timeout, in seconds. A slow store takes up to
 # 0.25 s, sixty times as long as usual.
 WATCH_TIMEOUT_MARGIN_S = 0.5
-# Time within which targets register again after the store is back, in seconds; stated by the
-# platform.
+# Time within which targets register again after the store is back or was restored, in seconds;
+# stated by the platform. Operators write their data again in the same time.
 REREGISTRATION_S = 2.2
 # Outage after which registrations in the store may have expired, in seconds.
 REGISTRATION_EXPIRY_S = 2.5
@@ -60,7 +61,10 @@
 
 
 class RevisionCompactedError(StoreError):
-    """The store has compacted the revision from which a watch was to continue."""
+    """The store has no history from the revision from which a watch was to continue.
+
+    It has compacted the revision, or was restored since it issued it.
+    """
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,9 +85,14 @@
 class Store(Protocol):
     """Client of the platform's store.
 
-    Every method raises `StoreError` if the call fails.
+    Every method raises `StoreError` if the call fails. Each revision is packed with the era in
+    which the store issued it; see `registry.StoreRevision.number`.
     """
 
+    @property
+    def era(self) -> int:
+        """Highest era that the store has stated to this node, 0 if it has stated none."""
+
     @property
     def unreadable_registrations(self) -> int:
         """Number of registrations of targets that were read and refused as malformed."""
@@ -142,6 +151,10 @@
 class StoreListener(Protocol):
     """Receives the results of reads and watches."""
 
+    @property
+    def state_versions(self) -> StateVersions:
+        """The versions in force."""
+
     def on_table(self, table: RouteTable) -> None:
         """Handles a route table that was read or changed."""
 
@@ -152,11 +165,22 @@
         """Handles changes relative to the targets delivered before."""
 
     def on_incomplete_targets(self, targets: TargetList) -> None:
-        """Handles a list read after an outage, which may lack targets that are still running."""
+        """Handles a list read after an outage or a restore of the store.
+
+        It may lack targets that are still running, and may hold outdated ones.
+        """
 
     def on_closed_zones(self, closed: ClosedZones) -> None:
         """Handles the list of closed availability zones."""
 
+    def on_outdated_closed_zones(self, closed: ClosedZones, named: frozenset[str]) -> None:
+        """Handles the list read after a restore of the store, which may be outdated.
+
+        Args:
+            closed: the list.
+            named: zones that were closed or opened since the first read after the restore.
+        """
+
 
 class StoreSync:
     """Lists and watches the store's resources while this node is a watcher.
@@ -190,6 +214,9 @@
         self._outage_since: float | None = None
         self._is_reading = False
         self._probing_resource: _Resource | None = None
+        self._era: int | None = None
+        # Calls in progress; a restore of the store ends those that watch an earlier era.
+        self._polls: dict[_Resource, asyncio.Task] = {}
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -223,6 +250,23 @@
         """Returns the time of the node's clock in seconds."""
         return self._clock()
 
+    def note_era(self, era: int) -> None:
+        """Ends the watches of earlier eras, if the store was restored, so that all parts are read.
+
+        A watch that is pending when the store is restored may wait for a revision that the store
+        reaches again only much later, and report nothing until it times out.
+
+        Args:
+            era: an era that the store has stated to this node or to another one.
+        """
+        is_restored = self._era is not None and era > self._era
+        self._era = era if self._era is None else max(era, self._era)
+        if not is_restored:
+            return
+        for resource, poll in self._polls.items():
+            if resource.revision and StoreRevision.from_number(resource.revision).era < era:
+                poll.cancel()
+
     async def _run(self, resource: "_Resource") -> None:
         """Polls a resource while this node is a watcher, with backoff after failed calls."""
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S, self._rng)
@@ -232,9 +276,13 @@
                 await self._wait_until_allowed(resource)
             started = self._clock()
             try:
-                await resource.poll()
+                await self._poll(resource)
             except asyncio.CancelledError:
-                raise
+                if asyncio.current_task().cancelling():
+                    raise
+                # `note_era` has ended the call; the resource is read in the new era.
+                resource.reset()
+                continue
             except RevisionCompactedError as error:
                 log_event(_log, "history gone", part=resource.name, reason=str(error))
                 resource.reset()
@@ -253,6 +301,15 @@
             await self._on_success()
             await asyncio.sleep(resource.pop_call_delay())
 
+    async def _poll(self, resource: "_Resource") -> None:
+        self._polls[resource] = asyncio.ensure_future(resource.poll())
+        try:
+            await self._polls[resource]
+        finally:
+            del self._polls[resource]
+        if resource.revision:
+            self.note_era(StoreRevision.from_number(resource.revision).era)
+
     def _may_call(self, resource: "_Resource") -> bool:
         """Returns whether the task of a resource may call the store now.
 
@@ -312,6 +369,11 @@
         self._revision = 0
         self._call_delay = 0.0
 
+    @property
+    def revision(self) -> int:
+        """Packed revision from which the next watch continues, 0 if the next call is a read."""
+        return self._revision
+
     def pop_call_delay(self) -> float:
         """Returns the pause before the next call in seconds, and resets it to 0."""
         pause, self._call_delay = self._call_delay, 0.0
@@ -348,28 +410,56 @@
 
 
 class _ZonesResource(_Resource):
-    """Synchronises the closed availability zones."""
+    """Synchronises the closed availability zones.
+
+    After a restore of the store the zones in force are held until operators have had time to write
+    theirs again. Only zones that are closed or opened meanwhile change at once.
+    """
 
     name = "closed zones"
     index = 1
 
+    def __init__(self, store: Store, listener: StoreListener, sync: StoreSync) -> None:
+        super().__init__(store, listener, sync)
+        self._hold = RestoreHold(REREGISTRATION_S)
+        # The last list that was read while the zones are held, and the zones named since the first.
+        self._held: ClosedZones | None = None
+        self._named: frozenset[str] = frozenset()
+
     async def poll(self) -> None:
         """Reads or watches the closed zones once."""
+        if self._hold.is_due(self._store_sync.now()):
+            self._revision = 0
         if self._revision:
-            self._revision = await self._store.watch_closed_zones(
-                self._revision, self._watch_timeout()
-            )
+            wait = self._hold.limit(self._store_sync.now(), self._watch_timeout())
+            self._revision = await self._store.watch_closed_zones(self._revision, wait)
             return
         closed = await self._store.read_closed_zones()
-        self._listener.on_closed_zones(closed)
+        in_force = self._listener.state_versions.closed_zones
+        now = self._store_sync.now()
+        if self._hold.is_complete(now, in_force, closed.version):
+            self._held = None
+            self._listener.on_closed_zones(closed)
+            self._hold.confirm(now, self._listener.state_versions.closed_zones)
+        else:
+            self._note_named_zones(closed)
+            self._listener.on_outdated_closed_zones(closed, self._named)
         self._revision = closed.version.revision
 
+    def _note_named_zones(self, closed: ClosedZones) -> None:
+        """Adds the zones that differ from the last list of the same era."""
+        if self._held is None or self._held.version.era != closed.version.era:
+            self._named = frozenset()
+        else:
+            self._named |= set(self._held.zones) ^ set(closed.zones)
+        self._held = closed
+
 
 class _TargetsResource(_Resource):
     """Synchronises the registered targets.
 
-    After an outage of the store its list may lack targets that are still running, until they have
-    registered again. Removals are held back until the list has been read once more.
+    After an outage or a restore of the store its list may lack targets that are still running,
+    until they have registered again. Removals are held back until the list has been read once more.
     """
 
     name = "targets"
@@ -377,18 +467,16 @@
 
     def __init__(self, store: Store, listener: StoreListener, sync: StoreSync) -> None:
         super().__init__(store, listener, sync)
-        self._full_read_at: float | None = None
+        self._hold = RestoreHold(REREGISTRATION_S)
 
     async def poll(self) -> None:
         """Reads or watches the targets once."""
-        if self._full_read_at is not None and self._store_sync.now() >= self._full_read_at:
+        if self._hold.is_due(self._store_sync.now()):
             self._revision = 0
         if not self._revision:
             await self._read()
             return
-        wait = self._watch_timeout()
-        if self._full_read_at is not None:
-            wait = max(0.1, min(wait, self._full_read_at - self._store_sync.now()))
+        wait = self._hold.limit(self._store_sync.now(), self._watch_timeout())
         changes = await self._store.watch_targets(self._revision, wait)
         self._revision = changes.revision
         if not changes.changed and not changes.removed:
@@ -400,10 +488,12 @@
         outage = self._store_sync.outage_duration()
         targets = await self._store.read_targets()
         self._revision = targets.version.revision
-        if self._full_read_at is None and outage > REGISTRATION_EXPIRY_S:
-            self._full_read_at = self._store_sync.now() + REREGISTRATION_S
-        if self._full_read_at is not None and self._store_sync.now() < self._full_read_at:
+        now = self._store_sync.now()
+        if not self._hold.is_active and outage > REGISTRATION_EXPIRY_S:
+            self._hold.begin(now)
+        in_force = self._listener.state_versions.targets
+        if not self._hold.is_complete(now, in_force, targets.version):
             self._listener.on_incomplete_targets(targets)
             return
-        self._full_read_at = None
         self._listener.on_targets(targets)
+        self._hold.confirm(now, self._listener.state_versions.targets)
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -6,7 +6,7 @@
 
 from nose2.tools import params
 
-from orioleloft_core.messages import StoreAccess
+from orioleloft_core.messages import StateVersions, StoreAccess
 from orioleloft_core.registry import RegisteredTarget, StateVersion, TargetList
 from orioleloftd import storesync
 from orioleloftd.storesync import RevisionCompactedError, StoreError, StoreSync, TargetChanges
@@ -88,6 +88,9 @@
 
 
 class StoreSyncTest(unittest.TestCase):
+    # As a listener; the scripted store states no era, so nothing in force matters.
+    state_versions = StateVersions()
+
     def setUp(self):
         self.clock = 100.0
         self.delivered = []
