Publishing and saved blocked requests across a restore of the store

Cause: a note could be published on a table that the store has lost, and its first steps could be lost while it was published; blocked requests that were saved since the copy were lost, and ended blocks came back.

Change: publish makes all steps again if the era has changed meanwhile, and refuses a note (store-restored) whose table would get a version that nodes have had with another content. The first watcher reads what is saved once per era, saves all blocked requests again and removes the others. The stand-in of the store can be restored.

--- a/packages/command/orioleloft/publishing.py
+++ b/packages/command/orioleloft/publishing.py
@@ -3,6 +3,8 @@
 A note changes several objects of the store, and its operator may be cut off between any two writes.
 It is therefore recorded as pending first and until the audit trail has it. Each further step has no
 effect if it was made before, so that publishing the same note again finishes it from any point.
+If the store is restored from an older copy meanwhile, which the era of its answers shows, all steps
+are made again.
 """
 
 import dataclasses
@@ -10,12 +12,14 @@
 from typing import Protocol
 
 from orioleloft_core import note as notes
-from orioleloft_core.errors import OutcomeUnknownError, ReleaseRefusedError
+from orioleloft_core.errors import OutcomeUnknownError, ReleaseRefusedError, StoreRestoredError
 from orioleloft_core.note import ReleaseNote, ZoneEdit
 from orioleloft_core.routes import RouteTable
 
 # Operators that publish at the same time cause a few conflicts; more in a row point to a fault.
 MAX_WRITE_ATTEMPTS = 8
+# Rounds in which a note is published if the store is restored during each of them.
+MAX_ROUNDS = 4
 
 
 class VersionConflictError(Exception):
@@ -28,7 +32,8 @@
 
     Attributes:
         table: the table, or None if none was published yet.
-        revision: revision of the stored object, 0 if there is none.
+        revision: revision of the stored object, packed with the era of the store, 0 if there is
+            none.
     """
 
     table: RouteTable | None
@@ -87,6 +92,10 @@
     Reads raise `StoreUnavailableError` if the store gives no answer, writes `OutcomeUnknownError`.
     """
 
+    @property
+    def era(self) -> int:
+        """Era of the last answer, which rises when the store is restored from an older copy."""
+
     async def read_published_table(self) -> PublishedTable:
         """Returns the route table in force with its revision."""
 
@@ -94,7 +103,8 @@
         """Replaces the route table if the stored one still has the revision of `expected`.
 
         Raises:
-            VersionConflictError: the stored table has another revision.
+            VersionConflictError: the stored table has another revision, or the store was restored
+                since `expected` was read.
             OutcomeUnknownError: the write was sent, but its answer was lost.
         """
 
@@ -132,36 +142,131 @@
 
     Raises:
         ReleaseRefusedError: the note conflicts with another note or the table in force.
+        StoreRestoredError: the store was restored and holds an older table than the one that the
+            note was to change; nodes ignore versions that they have had.
         StoreUnavailableError: the store gave no answer to a read.
         OutcomeUnknownError: an answer of the store was lost, and the note may or may not be in
             force.
     """
-    earlier_entry = await _find_audit_entry(store, note)
-    if earlier_entry is not None:
-        await store.remove_pending(note.name)
-        return earlier_entry
-    pending = await _record_pending(store, note, operator)
-    try:
-        version = await _publish_table(store, note) if note.has_table_edits else 0
-    except ReleaseRefusedError:
-        # The table is one object, so nothing of the note is in force.
-        await store.remove_pending(note.name)
-        raise
-    for edit in note.edits:
-        if isinstance(edit, ZoneEdit):
-            await store.set_zone_closed(edit.name, edit.is_closed)
-    entry = AuditEntry(
-        note.name,
-        note.digest,
-        note.author,
-        operator,
-        version,
-        _now_ms(),
-        pending.edits,
+    publication = _Publication(store, note, operator)
+    for _ in range(MAX_ROUNDS):
+        entry, era = await publication.make_all_steps()
+        if store.era == era:
+            return entry
+    raise StoreRestoredError(
+        "the store was restored again and again during the publication.",
+        "Publish this note again when the store is stable.",
     )
-    await store.append_audit(entry)
-    await store.remove_pending(note.name)
-    return entry
+
+
+class _Publication:
+    """One call of `publish`, with the tables that it has seen before a restore of the store.
+
+    Args:
+        store: the platform's store.
+        note: the note.
+        operator: name of the operator.
+    """
+
+    def __init__(self, store: OperatorStore, note: ReleaseNote, operator: str) -> None:
+        self._store = store
+        self._note = note
+        self._operator = operator
+        # The newest table that was in force or was sent to the store, and the era at that time.
+        self._newest: RouteTable | None = None
+        self._newest_era = 0
+
+    async def make_all_steps(self) -> tuple[AuditEntry, int]:
+        """Makes the steps that the store lacks; returns the entry and the era that they began in.
+
+        A copy of the store that has the audit entry also has the steps before it.
+        """
+        store, note = self._store, self._note
+        earlier_entry = await _find_audit_entry(store, note)
+        era = store.era
+        if earlier_entry is not None:
+            await store.remove_pending(note.name)
+            return earlier_entry, era
+        pending = await _record_pending(store, note, self._operator)
+        try:
+            version = await self._publish_table() if note.has_table_edits else 0
+        except ReleaseRefusedError:
+            # The table is one object, so nothing of the note is in force.
+            await store.remove_pending(note.name)
+            raise
+        for edit in note.edits:
+            if isinstance(edit, ZoneEdit):
+                await store.set_zone_closed(edit.name, edit.is_closed)
+        entry = AuditEntry(
+            note.name,
+            note.digest,
+            note.author,
+            self._operator,
+            version,
+            _now_ms(),
+            pending.edits,
+        )
+        await store.append_audit(entry)
+        await store.remove_pending(note.name)
+        return entry, era
+
+    async def _publish_table(self) -> int:
+        store, note = self._store, self._note
+        initial = expected = await store.read_published_table()
+        if notes.is_applied(expected.table, note):
+            self._require_not_reverted(expected.table)
+            return expected.table.version
+        era = store.era
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            table = notes.apply(expected.table, note)
+            self._require_not_reverted(table)
+            try:
+                await store.write_published_table(expected, table)
+                return table.version
+            except VersionConflictError:
+                expected = await store.read_published_table()
+            except OutcomeUnknownError:
+                # The write may have taken effect or may still do so. Only reading the table back
+                # shows whether it has.
+                current = await store.read_published_table()
+                is_changed = current.revision != expected.revision
+                if is_changed and not notes.is_applied(current.table, note):
+                    raise
+                expected = current
+            if notes.is_applied(expected.table, note):
+                # The lost write, or another operator who publishes the same note, has made the
+                # change.
+                self._require_not_reverted(expected.table)
+                return expected.table.version
+            if store.era != era:
+                self._require_not_reverted(notes.apply(expected.table, note))
+            overlap = notes.changed_items(initial.table, expected.table) & notes.edited_items(note)
+            if overlap:
+                names = ", ".join(" ".join(item).strip() for item in sorted(overlap))
+                raise ReleaseRefusedError(
+                    f"another note has just changed {names}.",
+                    "Review that change and publish this note again.",
+                )
+        raise ReleaseRefusedError(
+            "every write conflicted with another note.", "Publish this note again."
+        )
+
+    def _require_not_reverted(self, table: RouteTable) -> None:
+        """Checks that a table to be in force is not older than one seen in an earlier era.
+
+        Nodes hold the tables that a restored store has lost, and never go back to their versions.
+        """
+        era = self._store.era
+        newest, newest_era = self._newest, self._newest_era
+        self._newest, self._newest_era = table, era
+        if newest is None or newest_era == era:
+            return
+        if table.version > newest.version or table == newest:
+            return
+        raise StoreRestoredError(
+            f"the store was restored and has lost version {newest.version} of the table.",
+            "Publish the notes that were lost again in their order, then this note.",
+        )
 
 
 def _now_ms() -> int:
@@ -209,36 +314,3 @@
             f"another note named {note.name} was published already.", "Give this note a new name."
         )
     return None
-
-
-async def _publish_table(store: OperatorStore, note: ReleaseNote) -> int:
-    initial = expected = await store.read_published_table()
-    if notes.is_applied(expected.table, note):
-        return expected.table.version
-    for _ in range(MAX_WRITE_ATTEMPTS):
-        table = notes.apply(expected.table, note)
-        try:
-            await store.write_published_table(expected, table)
-            return table.version
-        except VersionConflictError:
-            expected = await store.read_published_table()
-        except OutcomeUnknownError:
-            # The write may have taken effect or may still do so. Only reading the table back shows
-            # whether it has.
-            current = await store.read_published_table()
-            if current.revision != expected.revision and not notes.is_applied(current.table, note):
-                raise
-            expected = current
-        if notes.is_applied(expected.table, note):
-            # The lost write, or another operator who publishes the same note, has made the change.
-            return expected.table.version
-        overlap = notes.changed_items(initial.table, expected.table) & notes.edited_items(note)
-        if overlap:
-            names = ", ".join(" ".join(item).strip() for item in sorted(overlap))
-            raise ReleaseRefusedError(
-                f"another note has just changed {names}.",
-                "Review that change and publish this note again.",
-            )
-    raise ReleaseRefusedError(
-        "every write conflicted with another note.", "Publish this note again."
-    )
--- a/packages/core/orioleloft_core/errors.py
+++ b/packages/core/orioleloft_core/errors.py
@@ -115,6 +115,12 @@
     code = "release-refused"
 
 
+class StoreRestoredError(ReleaseRefusedError):
+    """The store was restored from an older copy while a note was published."""
+
+    code = "store-restored"
+
+
 class StoreUnavailableError(OrioleloftError):
     """The platform's store gave no answer to a read; nothing was changed."""
 
--- a/packages/node/orioleloftd/crasharchive.py
+++ b/packages/node/orioleloftd/crasharchive.py
@@ -45,6 +45,8 @@
         # Processes under which each blocked request had crashed when it was saved, by fingerprint;
         # none if another node was to save it.
         self._saved: dict[str, tuple[str, ...]] = {}
+        # Era of the store to which `_saved` applies.
+        self._era = 0
 
     async def load(self) -> None:
         """Merges the saved requests; does nothing if the store cannot be read."""
@@ -96,6 +98,7 @@
 
     async def _write_next(self) -> None:
         """Saves one request that was not saved as it is now, or removes one."""
+        await self._note_restore()
         blocked = self._blocked()
         for fingerprint, record in blocked.items():
             if self._saved.get(fingerprint) != record.crashed:
@@ -109,3 +112,17 @@
                 del self._saved[fingerprint]
                 log_event(_log, "blocked request removed", fingerprint=fingerprint)
                 return
+
+    async def _note_restore(self) -> None:
+        """Reads what is saved after a restore of the store, so that all is saved again once.
+
+        The restored store may lack requests that are blocked, and may hold some that are no longer.
+        """
+        era = self._store.era
+        if era == self._era:
+            return
+        records = await self._store.read_blocked_requests()
+        self._saved = {record.fingerprint: () for record in records}
+        # The read may have shown a yet later era, which is then noted by the next call.
+        self._era = era
+        log_event(_log, "blocked requests read", count=len(records), era=era)
--- a/standins/store.py
+++ b/standins/store.py
@@ -5,12 +5,19 @@
 silent one delays each response by `MAX_WATCH_S`. `GET /control` returns the mode and the number of
 API requests. `{"raw_object": {"kind": ..., "name": ..., "spec": ...}}` writes an object as another
 program may leave it: the spec is JSON text that is sent to readers as it is, one character a byte.
+`{"sends_era": true}` adds the header `Store-Era` to all responses of the API.
+`{"restore": {"seconds": 3}}` or `{"restore": {"revisions": 20}}` restores the store from a copy of
+that age: later writes are lost, their revisions are issued again, and the era rises. Watches that
+are pending go on waiting.
 """
 
 import asyncio
+import collections
+import dataclasses
 import json
 import sys
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from absl import flags
@@ -25,10 +32,33 @@
 MAX_WATCH_S = 30.0
 
 
+# Writes that a restore can undo.
+MAX_UNDO = 50_000
+
+
+@dataclasses.dataclass(frozen=True)
+class _Undo:
+    """A write as a restore undoes it: the object before it, or None if there was none."""
+
+    revision: int
+    time: float
+    kind: str
+    name: str
+    previous: dict[str, Any] | None
+
+
 class StoreEmulator:
-    """Objects by kind and name, with one revision counter and a history of events for watches."""
+    """Objects by kind and name, with one revision counter and a history of events for watches.
+
+    Args:
+        clock: seconds, from which the age of a copy is computed.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._undo: collections.deque[_Undo] = collections.deque(maxlen=MAX_UNDO)
+        self.era = 1
+        self.sends_era = False
         self.mode = "up"
         self.request_count = 0
         self.revision = 1
@@ -48,6 +78,34 @@
         self._history.clear()
         self.oldest_revision = self.revision
 
+    @property
+    def api_headers(self) -> dict[str, str]:
+        """Headers of each response of the API."""
+        return {"Store-Era": str(self.era)} if self.sends_era else {}
+
+    def restore(self, *, seconds: float = 0.0, revisions: int = 0) -> None:
+        """Restores the store from a copy of an earlier time.
+
+        Args:
+            seconds: age of the copy.
+            revisions: number of revisions since the copy, an alternative to its age.
+        """
+        oldest_kept = self._clock() - seconds
+        target = self.revision - revisions if revisions else None
+        while self._undo:
+            write = self._undo[-1]
+            if write.revision <= target if target is not None else write.time <= oldest_kept:
+                break
+            self._undo.pop()
+            if write.previous is None:
+                self.objects(write.kind).pop(write.name, None)
+            else:
+                self.objects(write.kind)[write.name] = write.previous
+            self.revision = write.revision - 1
+        self.era += 1
+        self._history = [event for event in self._history if event[0] <= self.revision]
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+
     async def handle_api_request(
         self, method: str, path: str, query: dict, body: bytes
     ) -> tuple[int, Any]:
@@ -87,7 +145,7 @@
 
     async def _watch(self, kind: str, query: dict) -> tuple[int, Any]:
         since = int(query["watch"])
-        if since < self.oldest_revision:
+        if since < self.oldest_revision or since > self.revision:
             return 410, {"error": "history is gone"}
         wait = min(MAX_WATCH_S, int(query.get("wait_ms", "0")) / 1000)
         try:
@@ -133,18 +191,25 @@
             "deleting": False,
         }
         stored_object = {"metadata": metadata, "spec": spec, "status": None}
+        self._remember(kind, name)
         self.objects(kind)[name] = stored_object
         await self._append_event(kind, {"object": stored_object, "removed": False})
         return 200, stored_object
 
     async def _delete(self, kind: str, name: str) -> tuple[int, Any]:
-        existing = self.objects(kind).pop(name, None)
+        existing = self.objects(kind).get(name)
         if existing is None:
             return 404, {"error": "no such object"}
         self.revision += 1
+        self._remember(kind, name)
+        del self.objects(kind)[name]
         await self._append_event(kind, {"object": existing, "removed": True})
         return 200, existing
 
+    def _remember(self, kind: str, name: str) -> None:
+        previous = self.objects(kind).get(name)
+        self._undo.append(_Undo(self.revision, self._clock(), kind, name, previous))
+
     async def _append_event(self, kind: str, event: dict[str, Any]) -> None:
         self._history.append((self.revision, kind, event))
         async with self._history_changed:
@@ -153,14 +218,17 @@
     async def handle_control_request(self, method: str, body: bytes) -> tuple[int, Any]:
         """Executes a control request; returns the status and the document.
 
-        A POST sets the mode or writes a raw object.
+        A POST sets the mode, writes a raw object, restores the store or has it state its era.
         """
         if method == "POST":
             command = json.loads(body)
             self.mode = command.get("mode", self.mode)
+            self.sends_era = command.get("sends_era", self.sends_era)
+            if "restore" in command:
+                self.restore(**command["restore"])
             if "raw_object" in command:
                 await self._write_raw(**command["raw_object"])
-        return 200, {"mode": self.mode, "calls": self.request_count}
+        return 200, {"mode": self.mode, "calls": self.request_count, "era": self.era}
 
     async def _write_raw(self, kind: str, name: str, spec: str) -> None:
         placeholder = f"raw spec {len(self._raw_specs)}"
@@ -189,6 +257,8 @@
         headers = httputil.HTTPHeaders(
             {"Content-Type": "application/json", "Content-Length": str(len(body))}
         )
+        if request.path != CONTROL_PATH:
+            headers.update(self.api_headers)
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, "Answer")
         if not request.connection.stream.closed():
             request.connection.write_headers(start_line, headers, body)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -31,8 +31,11 @@
         before_write: called once, before the next write of a table.
         lost_answer: "before" or "after" to lose the answer of the next write of a table before or
             after it takes effect, "" to lose none.
+        era: era of the store.
     """
 
+    era = 0
+
     def __init__(self):
         self.published = PublishedTable(None, 0)
         self.audit = []
