Tests of the store that is restored from an older copy

Cause: the behaviour after a restore was untested, and two faults were found with these tests: a target that was removed before a first restore came back with the second one, and a note was reported as published after the store had lost its table.

An event that names a removed target again dates its removal to the era of the event. publish removes an audit entry that a restored store got without the change.

--- a/packages/command/orioleloft/publishing.py
+++ b/packages/command/orioleloft/publishing.py
@@ -114,6 +114,9 @@
     async def append_audit(self, entry: AuditEntry) -> None:
         """Adds an entry to the audit trail; entries of the same note and digest are stored once."""
 
+    async def remove_audit(self, entry: AuditEntry) -> None:
+        """Removes an entry that a restored store has without the change that it stands for."""
+
     async def read_audit(self) -> list[AuditEntry]:
         """Returns the audit trail, oldest entry first."""
 
@@ -150,8 +153,8 @@
     """
     publication = _Publication(store, note, operator)
     for _ in range(MAX_ROUNDS):
-        entry, era = await publication.make_all_steps()
-        if store.era == era:
+        entry = await publication.make_all_steps()
+        if entry is not None:
             return entry
     raise StoreRestoredError(
         "the store was restored again and again during the publication.",
@@ -176,17 +179,18 @@
         self._newest: RouteTable | None = None
         self._newest_era = 0
 
-    async def make_all_steps(self) -> tuple[AuditEntry, int]:
-        """Makes the steps that the store lacks; returns the entry and the era that they began in.
+    async def make_all_steps(self) -> AuditEntry | None:
+        """Makes the steps that the store lacks; returns the entry in the audit trail.
 
-        A copy of the store that has the audit entry also has the steps before it.
+        Returns:
+            None if the store was restored meanwhile, so that it may lack any of the steps.
         """
         store, note = self._store, self._note
         earlier_entry = await _find_audit_entry(store, note)
         era = store.era
         if earlier_entry is not None:
             await store.remove_pending(note.name)
-            return earlier_entry, era
+            return earlier_entry if store.era == era else None
         pending = await _record_pending(store, note, self._operator)
         try:
             version = await self._publish_table() if note.has_table_edits else 0
@@ -197,6 +201,8 @@
         for edit in note.edits:
             if isinstance(edit, ZoneEdit):
                 await store.set_zone_closed(edit.name, edit.is_closed)
+        if store.era != era:
+            return None
         entry = AuditEntry(
             note.name,
             note.digest,
@@ -207,8 +213,12 @@
             pending.edits,
         )
         await store.append_audit(entry)
+        if store.era != era:
+            # The restored store has the entry, but may lack the steps that it stands for.
+            await store.remove_audit(entry)
+            return None
         await store.remove_pending(note.name)
-        return entry, era
+        return entry if store.era == era else None
 
     async def _publish_table(self) -> int:
         store, note = self._store, self._note
--- a/packages/core/orioleloft_core/restore.py
+++ b/packages/core/orioleloft_core/restore.py
@@ -124,11 +124,21 @@
         """Number of removed targets that are remembered."""
         return len(self._removed)
 
-    def forget(self, target_ids: Iterable[str]) -> None:
-        """Drops what is known of targets that an event of the current era names."""
-        for target_id in target_ids:
+    def note_events(self, era: int, changed: Iterable[str], removed: Iterable[str]) -> None:
+        """Drops what was known before of targets that events of the current era name.
+
+        Args:
+            era: the era.
+            changed: ids of targets that were registered or changed.
+            removed: ids of targets that were removed. What the next copy has of them is outdated.
+        """
+        for target_id in changed:
             self._removed.pop(target_id, None)
             self._draining.pop(target_id, None)
+        for target_id in removed:
+            if target_id in self._removed:
+                known = self._removed[target_id]
+                self._removed[target_id] = dataclasses.replace(known, era=era)
 
     def observe(self, old: TargetList, new: TargetList) -> None:
         """Remembers which targets a new list in force removes or shows as draining."""
@@ -150,16 +160,22 @@
         while len(self._removed) > MAX_REMOVED_TARGETS:
             self._removed.popitem(last=False)
 
-    def corrected(self, read: TargetList) -> TargetList:
+    def corrected(self, read: TargetList, *, is_own: bool = True) -> TargetList:
         """Returns a list that was read without what the copy reverts.
 
         A process that was removed in an earlier era is left out, and one that drained in an
         earlier era still drains, until an event names it. A later process of a target is taken as
         it is.
+
+        Args:
+            read: the list.
+            is_own: whether this node has read it. Another node may have merged the copy with a list
+                that was outdated, so what this node has seen in the same era holds as well.
         """
         era = read.version.era
         if not era:
             return read
+        era += not is_own
         targets = tuple(
             (
                 dataclasses.replace(target, is_draining=True)
--- a/packages/node/orioleloftd/sharedstate.py
+++ b/packages/node/orioleloftd/sharedstate.py
@@ -15,6 +15,7 @@
 from orioleloft_core.registry import (
     ClosedZones,
     StateVersion,
+    StoreRevision,
     TargetList,
     TargetRegistry,
     defer_removals,
@@ -108,16 +109,15 @@
     def on_target_changes(self, changes: TargetChanges) -> None:
         """Applies target changes that this node's watch has delivered."""
         old = self._registry.target_list
-        self._target_memory.forget([target.id for target in changes.changed])
-        self._target_memory.forget(changes.removed)
+        changed_ids = [target.id for target in changes.changed]
+        era = StoreRevision.from_number(changes.revision).era
+        self._target_memory.note_events(era, changed_ids, changes.removed)
         if not self._registry.apply_watch_changes(
             changes.revision, changes.changed, changes.removed
         ):
             return
         self._target_memory.observe(old, self._registry.target_list)
-        self._record_changes(
-            [target.id for target in changes.changed], changes.removed, WATCH_SOURCE
-        )
+        self._record_changes(changed_ids, changes.removed, WATCH_SOURCE)
         self._on_change(ChangeOrigin.STORE)
 
     def on_incomplete_targets(self, targets: TargetList) -> None:
@@ -182,33 +182,35 @@
                 self._replace_table(updates.apply_table_delta(self._table, delta), source)
         match update.targets:
             case TargetList() as targets:
-                self._replace_targets(self._merged_with_own(targets), source)
+                self._replace_targets(self._merged_targets(targets), source)
             case TargetDelta(base_version=base_version) as delta if base_version <= before.targets:
                 self._apply_target_delta(delta, source)
-        match update.closed_zones:
-            case ClosedZones() as closed if self._is_first_of_its_era(
-                self._registry.closed_zones.version, closed.version
-            ):
-                held = self._zone_memory.held(self._registry.closed_zones, closed)
-                self._replace_closed_zones(held, source)
-            case ClosedZones() as closed:
-                self._replace_closed_zones(closed, source)
+        if update.closed_zones is not None:
+            self._replace_closed_zones(self._merged_zones(update.closed_zones), source)
         return self.state_versions != before
 
-    def _merged_with_own(self, targets: TargetList) -> TargetList:
-        """Returns another node's list, merged with what this node knows if it has to be.
+    def _merged_targets(self, new: TargetList) -> TargetList:
+        """Returns another node's list without what this node knows to be outdated in it.
 
-        A node that started just after a restore has nothing to merge the copy with, so the first
-        unsettled list of an era is merged here once more.
+        That node may have started just after a restore of the store, and had nothing to merge the
+        copy with, or may have been cut off before it, and had an outdated list. Settled lists are
+        taken as they are.
         """
+        if new.version.is_settled:
+            return new
         in_force = self._registry.target_list
-        if not self._is_first_of_its_era(in_force.version, targets.version):
-            return targets
-        return restore.merge_targets(in_force, self._target_memory.corrected(targets))
-
-    @staticmethod
-    def _is_first_of_its_era(in_force: StateVersion, new: StateVersion) -> bool:
-        return new.era > in_force.era and not new.is_settled
+        corrected = self._target_memory.corrected(new, is_own=False)
+        if new.version.era > in_force.version.era:
+            return restore.merge_targets(in_force, corrected)
+        return corrected
+
+    def _merged_zones(self, new: ClosedZones) -> ClosedZones:
+        """Returns another node's closed zones as `_merged_targets` does for targets."""
+        in_force = self._registry.closed_zones
+        is_first_unsettled = in_force.version.is_settled or new.version.era > in_force.version.era
+        if new.version.is_settled or not is_first_unsettled:
+            return new
+        return self._zone_memory.held(in_force, new)
 
     def update_since(self, known: StateVersions) -> StateUpdate:
         """Returns the update, in deltas where possible, for a node with the given versions."""
--- a/tests/test_crasharchive.py
+++ b/tests/test_crasharchive.py
@@ -95,6 +95,37 @@
             await second_archive._write_next()
         self.assertEqual(self.saved, {})
 
+    @async_test
+    async def test_restored_store(self):
+        """Guards against blocks that are lost with the store, or come back after their end.
+
+        Also against writes of the same request with each period after a restore.
+        """
+        self.start_store()
+        self.emulator.sends_era = True
+        ended = RequestFingerprints("ended", "ended-content")
+        tracker, archive = self.start_node()
+        for process in "ab":
+            tracker.on_crash(0.0, ended, process)
+        for _ in range(2):
+            await archive._write_next()
+        copied = self.emulator.revision
+        for process in "cd":
+            tracker.on_crash(0.0, HARMFUL, process)
+        tracker.on_answer(0.0, ended)
+        for _ in range(3):
+            await archive._write_next()
+        self.assertEqual(self.saved, {"caller": ["c", "d"]})
+        self.emulator.restore(revisions=self.emulator.revision - copied)
+        self.assertEqual(self.saved, {"ended": ["a", "b"]})
+        await self.store.read_table()
+        calls = self.emulator.request_count
+        for _ in range(6):
+            await archive._write_next()
+        self.assertEqual(self.saved, {"caller": ["c", "d"]})
+        # One read; one removal; one save, which is a PUT that finds nothing and a POST.
+        self.assertEqual(self.emulator.request_count - calls, 4)
+
     @params(
         ("n1", (), True, True),
         ("n1", ("n2", "n3"), True, True),
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 
+import msgpack
 from nose2.tools import params
 
 from orioleloft_adapter.operatorstore import PlatformOperatorStore
@@ -16,7 +17,15 @@
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.messages import NodeAddress, NodeList
 from orioleloft_core.observations import LoadFigures
-from orioleloft_core.registry import ClosedZones, RegisteredTarget, StateVersion, TargetList
+from orioleloft_core.registry import (
+    MAX_ERA,
+    MAX_REVISION,
+    ClosedZones,
+    RegisteredTarget,
+    StateVersion,
+    StoreRevision,
+    TargetList,
+)
 from orioleloft_core.routes import (
     CallerLimits,
     Route,
@@ -69,6 +78,21 @@
         datagram = messages.unpack(values)
         self.assertEqual(messages.pack(datagram), values)
 
+    @params(StoreRevision(0, 9), StoreRevision(3, 9), StoreRevision(MAX_ERA, MAX_REVISION))
+    def test_revisions_with_an_era(self, revision):
+        """Guards against an era that nodes of the last release cannot decode or order.
+
+        They have one whole number for a revision, and take the update with the greater one.
+        """
+        version = [revision.number, 1]
+        state = [*STATE[:-1], [7, version, version]]
+        values = ["News", state, [None, ["TargetList", version, [TARGET]], [version, ["zb"]]], 0]
+        received = msgpack.unpackb(msgpack.packb(values))
+        datagram = messages.unpack(received)
+        self.assertEqual(messages.pack(datagram), values)
+        self.assertEqual(datagram.update.targets.version.era, revision.era)
+        self.assertGreaterEqual(revision.number, STATE[-1][2][0])
+
     def test_handover(self):
         """Guards against a handover with another order of fields or other class tags."""
         table = RouteTable(
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -1,6 +1,7 @@
 """Tests of the client of the platform's store, against the stand-in of the store."""
 
 import dataclasses
+import json
 import time
 import unittest
 
@@ -11,10 +12,12 @@
 from orioleloft_adapter.store import NODES_KIND, PlatformStore
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.messages import NodeAddress, NodeList
+from orioleloft_core.registry import MAX_ERA, StoreRevision
 from orioleloftd.connections import HttpClient
-from orioleloftd.storesync import StoreError
+from orioleloftd.storesync import RevisionCompactedError, StoreError
 from standins.store import StoreEmulator, listen
 from tests.support.loop import async_test
+from tests.support.restorablestore import MemoryClient
 
 HOST = "127.0.0.1"
 NODE_A, NODE_B = NodeAddress("n0", "10.0.0.1", "za"), NodeAddress("n1", "10.0.0.2", "zb")
@@ -55,6 +58,154 @@
         self.assertEqual(await store.watch_table(3, 1.0), (None, 9))
 
 
+class EraTest(unittest.TestCase):
+    """Tests of the header `Store-Era`, against the stand-in in memory."""
+
+    def setUp(self):
+        self.emulator = StoreEmulator(lambda: 0.0)
+        self.emulator.sends_era = True
+        self.client = MemoryClient(self.emulator)
+        self.store = PlatformStore(Endpoint(HOST, 1), self.client)
+
+    async def write_some(self, count=3):
+        for index in range(count):
+            document = {"metadata": {"name": f"o{index}"}}
+            await self.emulator.handle_api_request(
+                "POST", "/v1/objects/other", {}, json.dumps(document).encode()
+            )
+
+    @params(
+        ("7", 7),
+        ("0", 5),
+        ("5", 5),
+        (str(MAX_ERA), MAX_ERA),
+        (str(MAX_ERA + 1), 5),
+        ("", 5),
+        ("-6", 5),
+        ("+6", 5),
+        ("6.0", 5),
+        ("six", 5),
+        ("\u0666", 5),
+        ("6,7", 5),
+        ("9" * 30, 5),
+    )
+    @async_test
+    async def test_header(self, text, era):
+        """Guards against an era taken from a malformed header, which no later one could exceed."""
+        self.client.header = "5"
+        await self.store.read_closed_zones()
+        self.client.header = text
+        if text == "0":
+            with self.assertRaises(StoreError):
+                await self.store.read_closed_zones()
+        else:
+            version = (await self.store.read_closed_zones()).version
+            self.assertEqual(version.era, era)
+        self.assertEqual(self.store.era, era)
+
+    @async_test
+    async def test_response_of_earlier_era(self):
+        """Guards against a replica that lags behind and takes nodes back to an earlier era."""
+        self.client.header = "5"
+        _, revision = await self.store.read_table()
+        self.client.header = "4"
+        for call in (
+            self.store.read_table(),
+            self.store.watch_targets(revision, 0.01),
+            self.store.read_registered_nodes(),
+        ):
+            with self.assertRaises(StoreError) as raised:
+                await call
+            self.assertNotIsInstance(raised.exception, RevisionCompactedError)
+
+    @params(True, False)
+    @async_test
+    async def test_watch_across_a_restore(self, is_known):
+        """Guards against a watch that goes on at a revision which the store has issued again.
+
+        The store answers it, so that all changes since the copy would be missed.
+        """
+        await self.write_some()
+        _, revision = await self.store.read_table()
+        self.emulator.restore(revisions=2)
+        await self.write_some()
+        if is_known:
+            await self.store.read_closed_zones()
+        calls = len(self.client.calls)
+        for watch in (
+            self.store.watch_table,
+            self.store.watch_targets,
+            self.store.watch_closed_zones,
+        ):
+            with self.assertRaises(RevisionCompactedError):
+                await watch(revision, 0.01)
+        self.assertEqual(len(self.client.calls) - calls, 0 if is_known else 1)
+
+    @async_test
+    async def test_watch_on_the_wire(self):
+        """Guards against a packed number in a call; the store knows no such revision."""
+        _, revision = await self.store.read_table()
+        await self.store.watch_table(revision, 0.01)
+        self.assertIn("GET config?watch=1&wait_ms=10", self.client.calls)
+        self.assertEqual(StoreRevision.from_number(revision), StoreRevision(1, 1))
+
+    @async_test
+    async def test_list_of_two_eras(self):
+        """Guards against a list whose first pages are lost ones and whose last are of the copy."""
+        await self.write_some(80)
+        await self.store.read_closed_zones()
+        self.client.before_answer = lambda: None
+        pages = self.store._read_pages("other", False)
+        await anext(pages)
+        self.emulator.restore(revisions=1)
+        with self.assertRaises(RevisionCompactedError):
+            await anext(pages)
+
+    @params("before the call", "before the answer", "known")
+    @async_test
+    async def test_conditional_write(self, when):
+        """Guards against a write on a list that the store has lost.
+
+        The restored store has issued the revision again, so it accepts the write.
+        """
+        await self.store.write_registered_nodes(NodeList((NODE_A,), 0))
+        lost = await self.store.read_registered_nodes()
+        if when == "before the answer":
+            self.client.before_answer = lambda: self.emulator.restore(revisions=1)
+        else:
+            self.emulator.restore(revisions=1)
+            await self.emulator.handle_api_request(
+                "POST",
+                f"/v1/objects/{NODES_KIND}",
+                {},
+                b'{"metadata": {"name": "all"}, "spec": {"nodes": []}}',
+            )
+        if when == "known":
+            self.assertNotEqual((await self.store.read_registered_nodes()).revision, lost.revision)
+        calls = len(self.client.calls)
+        is_written = await self.store.write_registered_nodes(NodeList((NODE_B,), lost.revision))
+        self.assertFalse(is_written)
+        self.assertEqual(len(self.client.calls) - calls, 0 if when == "known" else 1)
+        current = await self.store.read_registered_nodes()
+        self.assertTrue(
+            await self.store.write_registered_nodes(NodeList((NODE_A, NODE_B), current.revision))
+        )
+        self.assertEqual((await self.store.read_registered_nodes()).nodes, (NODE_A, NODE_B))
+
+    @async_test
+    async def test_restored_stand_in(self):
+        """Guards against a stand-in whose restore loses or keeps other writes than the copy has."""
+        await self.write_some(2)
+        command = {"restore": {"revisions": 1}, "sends_era": False}
+        await self.emulator.handle_control_request("POST", json.dumps(command).encode())
+        self.assertEqual(list(self.emulator.objects("other")), ["o0"])
+        self.assertEqual((self.emulator.era, self.emulator.api_headers), (2, {}))
+        status, _ = await self.emulator.handle_api_request(
+            "GET", "/v1/objects/other", {"watch": "3"}, b""
+        )
+        self.assertEqual(status, 410)
+
+
 class RegisteredNodesTest(unittest.TestCase):
     def start_store(self):
         self.store_stand_in = StoreEmulator()
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import itertools
 import pathlib
@@ -12,7 +13,8 @@
 from orioleloft import publishing
 from orioleloft.publishing import PublishedTable, VersionConflictError
 from orioleloft_core import note as notes
-from orioleloft_core.errors import OutcomeUnknownError, ReleaseRefusedError
+from orioleloft_core.errors import OutcomeUnknownError, ReleaseRefusedError, StoreRestoredError
+from orioleloft_core.registry import StoreRevision
 
 START = (pathlib.Path(__file__).resolve().parent.parent / "examples" / "start.ini").read_text()
 
@@ -47,6 +49,21 @@
         self.calls = 0
         self.cut_at = 0
         self.cut_when = ""
+        self.restores = {}
+
+    def copy(self):
+        """Returns a copy to which `restore_at` can go back."""
+        return copy.deepcopy((self.published, self.audit, self.zones, self.pending))
+
+    def restore_at(self, call, older=None):
+        """Restores the store with a later call, before its effect and in the era of its answer."""
+        self.restores[self.calls + call] = older or self.copy()
+
+    def _restore(self, older):
+        self.era += 1
+        self.published, self.audit, self.zones, self.pending = copy.deepcopy(older)
+        revision = StoreRevision(self.era, self.published.revision).number
+        self.published = dataclasses.replace(self.published, revision=revision)
 
     async def read_published_table(self):
         await self._count_call()
@@ -56,6 +73,8 @@
         """Counts a call and cuts it off, before or after its effect, if it is the chosen one."""
         await asyncio.sleep(0)
         self.calls += 1
+        if self.calls in self.restores:
+            self._restore(self.restores.pop(self.calls))
         if self.calls == self.cut_at and self.cut_when == "before":
             raise OutcomeUnknownError("cut off")
         result = effect()
@@ -105,6 +124,12 @@
 
         await self._count_call(append)
 
+    async def remove_audit(self, entry):
+        def remove():
+            self.audit = [each for each in self.audit if each.note != entry.note]
+
+        await self._count_call(remove)
+
     async def read_audit(self):
         await self._count_call()
         return list(self.audit)
@@ -223,6 +248,36 @@
         self.assertEqual([each.note for each in self.store.audit], ["start", "all"])
         self.assertEqual((self.store.zones, self.store.pending), ({"zb"}, {}))
 
+    @params(*range(1, 9))
+    def test_restore_during_a_publish(self, step):
+        """Guards against a note that is reported as published and lost with the store.
+
+        The store is restored with the given call, to its state before the note.
+        """
+        self.store.zones.add("zc")
+        self.store.restore_at(step)
+        entry = self.publish(notes.parse(self.NOTE_WITH_ALL_STEPS))
+        self.assertEqual((entry.version, self.store.published.table.version), (2, 2))
+        self.assertEqual(self.store.zones, {"zb", "zc"})
+        self.assertEqual([each.note for each in self.store.audit], ["start", "all"])
+        self.assertEqual((self.store.pending, self.store.era), ({}, 1))
+
+    @params(5, 6, 7)
+    def test_restore_to_an_older_table(self, step):
+        """Guards against a version with other content than the one that nodes had under it.
+
+        They would ignore it, and the operator would believe that it is in force.
+        """
+        older = self.store.copy()
+        self.publish(make_note("lost", "seat-hold", "4 s"))
+        self.store.restore_at(step, older)
+        with self.assertRaises(StoreRestoredError) as raised:
+            self.publish(make_note("x", "seat-look"))
+        self.assertIn("version", str(raised.exception))
+        self.assertTrue(raised.exception.remedy)
+        self.assertEqual((self.store.published.table.version, self.store.pending), (1, {}))
+        self.assertEqual([each.note for each in self.store.audit], ["start"])
+
     def test_refused_note_is_not_pending(self):
         """Guards against a note that is refused and blocks all others that edit its items."""
         with self.assertRaises(ReleaseRefusedError):
