A node that missed changes before a restore does not impose its list on others

Cause: of 60 random histories (tests/test_restore.py), two ended with a node that had been cut off, merged the copy with its outdated closed zones and passed them on with a greater revision.

Change: such a node, and one that has just started, gives the part that it merged the lowest version of the era; nodes that hear of the era with it merge it with what they know.

--- a/packages/core/orioleloft_core/restore.py
+++ b/packages/core/orioleloft_core/restore.py
@@ -37,17 +37,23 @@
     )
 
 
-def initial_version(version: StateVersion) -> StateVersion:
-    """Returns the version for a part that a starting node reads without knowing an earlier one.
+def lowest_version(version: StateVersion) -> StateVersion:
+    """Returns the version for a part read by a node that may have missed what was lost.
 
-    The node cannot tell whether the store was just restored. Within the same era its part
-    therefore never outranks that of a node which has merged it with what it knew.
+    Such a node has just started, or was cut off before the restore. Within the era its part never
+    outranks that of a node which has merged it with what was in force. Without an era the version
+    stays.
     """
     if not version.era:
         return version
     return StateVersion(StoreRevision(version.era, 0).number, 0)
 
 
+def is_lowest_version(version: StateVersion) -> bool:
+    """Whether a version is one that `lowest_version` has lowered."""
+    return version.era > 0 and version == lowest_version(version)
+
+
 class RestoreHold:
     """Decides from when on a part of the state that was read may be taken as it is.
 
@@ -160,22 +166,16 @@
         while len(self._removed) > MAX_REMOVED_TARGETS:
             self._removed.popitem(last=False)
 
-    def corrected(self, read: TargetList, *, is_own: bool = True) -> TargetList:
+    def corrected(self, read: TargetList) -> TargetList:
         """Returns a list that was read without what the copy reverts.
 
         A process that was removed in an earlier era is left out, and one that drained in an
         earlier era still drains, until an event names it. A later process of a target is taken as
         it is.
-
-        Args:
-            read: the list.
-            is_own: whether this node has read it. Another node may have merged the copy with a list
-                that was outdated, so what this node has seen in the same era holds as well.
         """
         era = read.version.era
         if not era:
             return read
-        era += not is_own
         targets = tuple(
             (
                 dataclasses.replace(target, is_draining=True)
--- a/packages/node/orioleloftd/sharedstate.py
+++ b/packages/node/orioleloftd/sharedstate.py
@@ -152,9 +152,9 @@
         """Applies the result of the initial read, which is not disseminated."""
         targets, closed = update.targets, update.closed_zones
         if targets is not None:
-            targets = dataclasses.replace(targets, version=restore.initial_version(targets.version))
+            targets = dataclasses.replace(targets, version=restore.lowest_version(targets.version))
         if closed is not None:
-            closed = dataclasses.replace(closed, version=restore.initial_version(closed.version))
+            closed = dataclasses.replace(closed, version=restore.lowest_version(closed.version))
         update = dataclasses.replace(update, targets=targets, closed_zones=closed)
         if self._apply_parts(update, STORE):
             self._on_change(ChangeOrigin.INITIAL_READ)
@@ -190,27 +190,17 @@
         return self.state_versions != before
 
     def _merged_targets(self, new: TargetList) -> TargetList:
-        """Returns another node's list without what this node knows to be outdated in it.
-
-        That node may have started just after a restore of the store, and had nothing to merge the
-        copy with, or may have been cut off before it, and had an outdated list. Settled lists are
-        taken as they are.
-        """
-        if new.version.is_settled:
-            return new
+        """Returns another node's list, merged with what this node knows if the other knew less."""
         in_force = self._registry.target_list
-        corrected = self._target_memory.corrected(new, is_own=False)
-        if new.version.era > in_force.version.era:
-            return restore.merge_targets(in_force, corrected)
-        return corrected
+        if not restore.is_lowest_version(new.version):
+            return new
+        return restore.merge_targets(in_force, self._target_memory.corrected(new))
 
     def _merged_zones(self, new: ClosedZones) -> ClosedZones:
-        """Returns another node's closed zones as `_merged_targets` does for targets."""
-        in_force = self._registry.closed_zones
-        is_first_unsettled = in_force.version.is_settled or new.version.era > in_force.version.era
-        if new.version.is_settled or not is_first_unsettled:
+        """Returns another node's closed zones, merged as `_merged_targets` merges targets."""
+        if not restore.is_lowest_version(new.version):
             return new
-        return self._zone_memory.held(in_force, new)
+        return self._zone_memory.held(self._registry.closed_zones, new)
 
     def update_since(self, known: StateVersions) -> StateUpdate:
         """Returns the update, in deltas where possible, for a node with the given versions."""
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -10,8 +10,14 @@
 from orioleloft_core.budget import Backoff
 from orioleloft_core.crashes import CrashRecord
 from orioleloft_core.messages import NodeList, StateVersions, StoreAccess
-from orioleloft_core.registry import ClosedZones, RegisteredTarget, StoreRevision, TargetList
-from orioleloft_core.restore import RestoreHold
+from orioleloft_core.registry import (
+    ClosedZones,
+    RegisteredTarget,
+    StateVersion,
+    StoreRevision,
+    TargetList,
+)
+from orioleloft_core.restore import RestoreHold, lowest_version
 from orioleloft_core.routes import RouteTable
 from orioleloftd.logs import log_event
 
@@ -272,7 +278,7 @@
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S, self._rng)
         while True:
             if not self._may_call(resource):
-                resource.reset()
+                resource.interrupt()
                 await self._wait_until_allowed(resource)
             started = self._clock()
             try:
@@ -287,14 +293,14 @@
                 log_event(_log, "history gone", part=resource.name, reason=str(error))
                 resource.reset()
             except StoreError as error:
-                resource.reset()
+                resource.interrupt()
                 self._on_failure(started, resource, error)
                 await asyncio.sleep(backoff.next_delay())
                 continue
             except Exception:
                 # An unexpected error in one resource must not end the watch for the whole fleet.
                 _log.exception("reading of the store failed")
-                resource.reset()
+                resource.interrupt()
                 await asyncio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
@@ -367,6 +373,8 @@
         self._listener = listener
         self._store_sync = sync
         self._revision = 0
+        # Whether no change can have been missed since the last read, other than by a restore.
+        self._is_continuous = False
         self._call_delay = 0.0
 
     @property
@@ -386,6 +394,24 @@
         """Discards the revision, so that the next call reads the complete resource."""
         self._revision = 0
 
+    def interrupt(self) -> None:
+        """Does the same after a failed call, or when this node stops to watch."""
+        self._is_continuous = False
+        self.reset()
+
+    def _version_to_rank(self, in_force: StateVersion, read: StateVersion) -> StateVersion:
+        """Returns the version for a part that was read and may be outdated.
+
+        A node that has not watched up to the restore may have missed changes before it, and must
+        not impose the part that it merged on nodes that know better.
+
+        Args:
+            in_force: version of the part in force.
+            read: version of the part that was read.
+        """
+        is_behind = in_force.era < read.era and not self._is_continuous
+        return lowest_version(read) if is_behind else read
+
     async def poll(self) -> None:
         """Makes one call to the store and delivers its result."""
         raise NotImplementedError
@@ -443,8 +469,11 @@
             self._hold.confirm(now, self._listener.state_versions.closed_zones)
         else:
             self._note_named_zones(closed)
-            self._listener.on_outdated_closed_zones(closed, self._named)
+            version = self._version_to_rank(in_force, closed.version)
+            ranked = dataclasses.replace(closed, version=version)
+            self._listener.on_outdated_closed_zones(ranked, self._named)
         self._revision = closed.version.revision
+        self._is_continuous = True
 
     def _note_named_zones(self, closed: ClosedZones) -> None:
         """Adds the zones that differ from the last list of the same era."""
@@ -493,7 +522,9 @@
             self._hold.begin(now)
         in_force = self._listener.state_versions.targets
         if not self._hold.is_complete(now, in_force, targets.version):
-            self._listener.on_incomplete_targets(targets)
-            return
-        self._listener.on_targets(targets)
-        self._hold.confirm(now, self._listener.state_versions.targets)
+            version = self._version_to_rank(in_force, targets.version)
+            self._listener.on_incomplete_targets(dataclasses.replace(targets, version=version))
+        else:
+            self._listener.on_targets(targets)
+            self._hold.confirm(now, self._listener.state_versions.targets)
+        self._is_continuous = True
