Hold after a restore for any part that is read as a whole; tests

Cause: the roll-outs will be read and watched like the closed zones.

Change: _SnapshotResource has the hold; _ZonesResource supplies its calls. A node that returns during the hold counts as one that may have missed changes. Tests of the list of nodes, of tables that go back, of random histories, and over HTTP.

--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -5,7 +5,7 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from orioleloft_core.budget import Backoff
 from orioleloft_core.crashes import CrashRecord
@@ -17,7 +17,7 @@
     StoreRevision,
     TargetList,
 )
-from orioleloft_core.restore import RestoreHold, lowest_version
+from orioleloft_core.restore import RestoreHold, has_to_hold, lowest_version
 from orioleloft_core.routes import RouteTable
 from orioleloftd.logs import log_event
 
@@ -402,14 +402,14 @@
     def _version_to_rank(self, in_force: StateVersion, read: StateVersion) -> StateVersion:
         """Returns the version for a part that was read and may be outdated.
 
-        A node that has not watched up to the restore may have missed changes before it, and must
-        not impose the part that it merged on nodes that know better.
+        A node that has not watched from before the restore to the end of the hold may have missed
+        changes, and must not impose the part that it merged on nodes that know better.
 
         Args:
             in_force: version of the part in force.
             read: version of the part that was read.
         """
-        is_behind = in_force.era < read.era and not self._is_continuous
+        is_behind = has_to_hold(in_force, read) and not self._is_continuous
         return lowest_version(read) if is_behind else read
 
     async def poll(self) -> None:
@@ -435,53 +435,98 @@
             self._call_delay = BATCH_DELAY_S
 
 
-class _ZonesResource(_Resource):
-    """Synchronises the closed availability zones.
+class _SnapshotResource(_Resource):
+    """A resource that is read as a whole after each change, with few items.
 
-    After a restore of the store the zones in force are held until operators have had time to write
-    theirs again. Only zones that are closed or opened meanwhile change at once.
+    After a restore of the store the snapshot in force is held until operators have had time to
+    write theirs again. Only items that change meanwhile are taken from the store at once. A
+    subclass supplies the calls and the listener's methods; its snapshots have a `version`.
     """
 
-    name = "closed zones"
-    index = 1
-
     def __init__(self, store: Store, listener: StoreListener, sync: StoreSync) -> None:
         super().__init__(store, listener, sync)
         self._hold = RestoreHold(REREGISTRATION_S)
-        # The last list that was read while the zones are held, and the zones named since the first.
-        self._held: ClosedZones | None = None
+        # The last snapshot that was read during the hold, and the items named since the first.
+        self._last_outdated: Any = None
         self._named: frozenset[str] = frozenset()
 
     async def poll(self) -> None:
-        """Reads or watches the closed zones once."""
+        """Reads or watches the resource once."""
         if self._hold.is_due(self._store_sync.now()):
             self._revision = 0
         if self._revision:
             wait = self._hold.limit(self._store_sync.now(), self._watch_timeout())
-            self._revision = await self._store.watch_closed_zones(self._revision, wait)
+            self._revision = await self._watch(wait)
             return
-        closed = await self._store.read_closed_zones()
-        in_force = self._listener.state_versions.closed_zones
+        snapshot = await self._read()
+        in_force = self._version_in_force()
         now = self._store_sync.now()
-        if self._hold.is_complete(now, in_force, closed.version):
-            self._held = None
-            self._listener.on_closed_zones(closed)
-            self._hold.confirm(now, self._listener.state_versions.closed_zones)
+        if self._hold.is_complete(now, in_force, snapshot.version):
+            self._last_outdated = None
+            self._deliver(snapshot)
+            self._hold.confirm(now, self._version_in_force())
         else:
-            self._note_named_zones(closed)
-            version = self._version_to_rank(in_force, closed.version)
-            ranked = dataclasses.replace(closed, version=version)
-            self._listener.on_outdated_closed_zones(ranked, self._named)
-        self._revision = closed.version.revision
+            self._note_named(snapshot)
+            version = self._version_to_rank(in_force, snapshot.version)
+            self._deliver_outdated(dataclasses.replace(snapshot, version=version), self._named)
+        self._revision = snapshot.version.revision
         self._is_continuous = True
 
-    def _note_named_zones(self, closed: ClosedZones) -> None:
-        """Adds the zones that differ from the last list of the same era."""
-        if self._held is None or self._held.version.era != closed.version.era:
+    def _note_named(self, snapshot: Any) -> None:
+        last, self._last_outdated = self._last_outdated, snapshot
+        if last is None or last.version.era != snapshot.version.era:
             self._named = frozenset()
         else:
-            self._named |= set(self._held.zones) ^ set(closed.zones)
-        self._held = closed
+            self._named |= self._changed_names(last, snapshot)
+
+    async def _read(self) -> Any:
+        """Reads the snapshot."""
+        raise NotImplementedError
+
+    async def _watch(self, wait: float) -> int:
+        """Waits for a change; returns the revision to continue from, or 0 to read again."""
+        raise NotImplementedError
+
+    def _version_in_force(self) -> StateVersion:
+        """Returns the version of the snapshot in force."""
+        raise NotImplementedError
+
+    def _changed_names(self, old: Any, new: Any) -> frozenset[str]:
+        """Returns the names of the items that differ between two snapshots."""
+        raise NotImplementedError
+
+    def _deliver(self, snapshot: Any) -> None:
+        """Hands a snapshot to the listener that may replace the one in force."""
+        raise NotImplementedError
+
+    def _deliver_outdated(self, snapshot: Any, named: frozenset[str]) -> None:
+        """Hands a snapshot to the listener that is valid only for the named items."""
+        raise NotImplementedError
+
+
+class _ZonesResource(_SnapshotResource):
+    """Synchronises the closed availability zones."""
+
+    name = "closed zones"
+    index = 1
+
+    async def _read(self) -> ClosedZones:
+        return await self._store.read_closed_zones()
+
+    async def _watch(self, wait: float) -> int:
+        return await self._store.watch_closed_zones(self._revision, wait)
+
+    def _version_in_force(self) -> StateVersion:
+        return self._listener.state_versions.closed_zones
+
+    def _changed_names(self, old: ClosedZones, new: ClosedZones) -> frozenset[str]:
+        return frozenset(old.zones) ^ frozenset(new.zones)
+
+    def _deliver(self, snapshot: ClosedZones) -> None:
+        self._listener.on_closed_zones(snapshot)
+
+    def _deliver_outdated(self, snapshot: ClosedZones, named: frozenset[str]) -> None:
+        self._listener.on_outdated_closed_zones(snapshot, named)
 
 
 class _TargetsResource(_Resource):
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -1,5 +1,6 @@
 """Tests of the client of the platform's store, against the stand-in of the store."""
 
+import asyncio
 import dataclasses
 import json
 import time
@@ -149,6 +150,27 @@
         self.assertIn("GET config?watch=1&wait_ms=10", self.client.calls)
         self.assertEqual(StoreRevision.from_number(revision), StoreRevision(1, 1))
 
+    @async_test
+    async def test_restore_over_http(self):
+        """Guards against a stand-in that states no era on the wire, or a call that cannot end.
+
+        A watch that is cancelled must leave a client that can be used.
+        """
+        port = listen(self.emulator, HOST, 0)
+        store = PlatformStore(Endpoint(HOST, port), HttpClient(time.monotonic))
+        _, revision = await store.read_table()
+        watch = asyncio.ensure_future(store.watch_table(revision, 20.0))
+        await asyncio.sleep(0.05)
+        control = json.dumps({"restore": {"seconds": 0}}).encode()
+        await self.emulator.handle_control_request("POST", control)
+        self.assertEqual((await store.read_closed_zones()).version.era, 2)
+        watch.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await watch
+        with self.assertRaises(RevisionCompactedError):
+            await store.watch_table(revision, 0.1)
+        self.assertEqual((await store.read_targets()).version.era, 2)
+
     @async_test
     async def test_list_of_two_eras(self):
         """Guards against a list whose first pages are lost ones and whose last are of the copy."""
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import unittest
+from types import SimpleNamespace
 
 from nose2.tools import params
 
-from orioleloft_adapter.store import TARGETS_KIND
+from orioleloft_adapter.store import NODES_KIND, TARGETS_KIND, PlatformStore
 from orioleloft_core import restore
+from orioleloft_core.entrysettings import Endpoint
+from orioleloft_core.messages import NodeAddress
 from orioleloft_core.registry import (
     MAX_ERA,
     MAX_REVISION,
@@ -19,8 +23,13 @@
     TargetList,
 )
 from orioleloft_core.restore import RestoreHold, TargetMemory, ZoneMemory
+from orioleloft_core.routes import DEFAULT_LIMITS, RouteTable
+from orioleloft_core.updates import StateUpdate, table_delta
+from orioleloftd.noderegistrar import NodeRegistrar
+from orioleloftd.sharedstate import SharedState
+from standins.store import StoreEmulator
 from standins.virtualtime import run_in_virtual_time
-from tests.support.restorablestore import Fleet
+from tests.support.restorablestore import Fleet, MemoryClient
 
 
 def make_version(era, revision, is_settled=1):
@@ -419,6 +428,7 @@
     def setUp(self):
         self.truth = {}
         self.reached = set()
+        self.in_touch_from = {}
         self.violations = []
 
     def observed(self, node):
@@ -433,7 +443,9 @@
             for item, value in self.observed(node).items():
                 key = (node.name, item)
                 if value == (self.truth[item] in ("ready", "closed")):
-                    self.reached.add(key)
+                    # A node with an outdated state may equal the truth by chance.
+                    if self.now >= self.in_touch_from.get(node.name, 0.0):
+                        self.reached.add(key)
                 elif key in self.reached:
                     self.reached.discard(key)
                     self.violations.append((round(self.now, 2), *key, self.truth[item]))
@@ -503,10 +515,12 @@
         while self.now < self.END_S:
             await asyncio.sleep(rng.uniform(1.0, 6.0))
             node = rng.choice(list(self.fleet.nodes.values()))
+            self.in_touch_from[node.name] = math.inf
             node.client.is_cut = rng.random() < 0.7
             node.is_cut_from_peers = rng.random() < 0.4
             await asyncio.sleep(rng.uniform(0.5, 5.0))
             node.client.is_cut = node.is_cut_from_peers = False
+            self.in_touch_from[node.name] = self.now + 1.0
             chosen = rng.choice(list(self.fleet.nodes.values()))
             await chosen.watch(not chosen.is_watcher or chosen.name == "n0")
 
@@ -541,6 +555,58 @@
         run_in_virtual_time(self.run_scenario(seed))
 
 
+class RegisteredNodesTest(unittest.TestCase):
+    def test_list_is_written_again_once(self):
+        """Guards against a list of nodes that stays as old as the copy, or is written by each."""
+
+        async def run():
+            emulator = StoreEmulator(lambda: 0.0)
+            emulator.sends_era = True
+            addresses = tuple(NodeAddress(name, "10.0.0.1", "za") for name in ("n0", "n1"))
+            fleet = SimpleNamespace(
+                add=lambda node: False, nodes_to_register=lambda now, registered: addresses
+            )
+            registrars = [
+                NodeRegistrar(
+                    PlatformStore(Endpoint("store", 1), MemoryClient(emulator)),
+                    fleet,
+                    SimpleNamespace(is_reading=True),
+                    lambda: 0.0,
+                    random.Random(1),
+                )
+                for _ in range(3)
+            ]
+            for _ in range(2):
+                for registrar in registrars:
+                    await registrar._reconcile(may_write=True)
+            self.assertEqual(emulator.revision, 2)
+            emulator.restore(revisions=1)
+            for _ in range(2):
+                await asyncio.gather(*[each._reconcile(may_write=True) for each in registrars])
+            self.assertEqual(emulator.revision, 2)
+            stored = emulator.objects(NODES_KIND)["all"]["spec"]["nodes"]
+            self.assertEqual([node["name"] for node in stored], ["n0", "n1"])
+
+        run_in_virtual_time(run())
+
+
+class TableTest(unittest.TestCase):
+    @params("store", "peer snapshot", "peer delta")
+    def test_table_that_goes_back(self, source):
+        """Guards against a route table of the copy that replaces the one in force."""
+        tables = [RouteTable(version, (), (), DEFAULT_LIMITS) for version in (6, 7, 8)]
+        state = SharedState(lambda origin: None)
+        state.on_table(tables[2])
+        match source:
+            case "store":
+                state.on_table(tables[1])
+            case "peer snapshot":
+                state.apply(StateUpdate(table=tables[1]), "n1")
+            case "peer delta":
+                state.apply(StateUpdate(table=table_delta(tables[0], tables[1])), "n1")
+        self.assertIs(state.table, tables[2])
+
+
 class LowestVersionTest(unittest.TestCase):
     def test_initial_read(self):
         """Guards against a starting node whose unmerged copy outranks the lists of all others."""
