--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -5,12 +5,19 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from orioleloft_core.budget import Backoff
 from orioleloft_core.crashes import CrashRecord
-from orioleloft_core.messages import NodeList, StoreAccess
-from orioleloft_core.registry import ClosedZones, RegisteredTarget, TargetList
+from orioleloft_core.messages import NodeList, StateVersions, StoreAccess
+from orioleloft_core.registry import (
+    ClosedZones,
+    RegisteredTarget,
+    StateVersion,
+    StoreRevision,
+    TargetList,
+)
+from orioleloft_core.restore import RestoreHold, has_to_hold, lowest_version
 from orioleloft_core.routes import RouteTable
 from orioleloftd.logs import log_event
 
@@ -30,8 +37,8 @@
 # Time allowed for the answer of a watch after its timeout, in seconds. A slow store takes up to
 # 0.25 s, sixty times as long as usual.
 WATCH_TIMEOUT_MARGIN_S = 0.5
-# Time within which targets register again after the store is back, in seconds; stated by the
-# platform.
+# Time within which targets register again after the store is back or was restored, in seconds;
+# stated by the platform. Operators write their data again in the same time.
 REREGISTRATION_S = 2.2
 # Outage after which registrations in the store may have expired, in seconds.
 REGISTRATION_EXPIRY_S = 2.5
@@ -60,7 +67,10 @@
 
 
 class RevisionCompactedError(StoreError):
-    """The store has compacted the revision from which a watch was to continue."""
+    """The store has no history from the revision from which a watch was to continue.
+
+    It has compacted the revision, or was restored since it issued it.
+    """
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,9 +91,14 @@
 class Store(Protocol):
     """Client of the platform's store.
 
-    Every method raises `StoreError` if the call fails.
+    Every method raises `StoreError` if the call fails. Each revision is packed with the era in
+    which the store issued it; see `registry.StoreRevision.number`.
     """
 
+    @property
+    def era(self) -> int:
+        """Highest era that the store has stated to this node, 0 if it has stated none."""
+
     @property
     def unreadable_registrations(self) -> int:
         """Number of registrations of targets that were read and refused as malformed."""
@@ -142,6 +157,10 @@
 class StoreListener(Protocol):
     """Receives the results of reads and watches."""
 
+    @property
+    def state_versions(self) -> StateVersions:
+        """The versions in force."""
+
     def on_table(self, table: RouteTable) -> None:
         """Handles a route table that was read or changed."""
 
@@ -152,11 +171,22 @@
         """Handles changes relative to the targets delivered before."""
 
     def on_incomplete_targets(self, targets: TargetList) -> None:
-        """Handles a list read after an outage, which may lack targets that are still running."""
+        """Handles a list read after an outage or a restore of the store.
+
+        It may lack targets that are still running, and may hold outdated ones.
+        """
 
     def on_closed_zones(self, closed: ClosedZones) -> None:
         """Handles the list of closed availability zones."""
 
+    def on_outdated_closed_zones(self, closed: ClosedZones, named: frozenset[str]) -> None:
+        """Handles the list read after a restore of the store, which may be outdated.
+
+        Args:
+            closed: the list.
+            named: zones that were closed or opened since the first read after the restore.
+        """
+
 
 class StoreSync:
     """Lists and watches the store's resources while this node is a watcher.
@@ -190,6 +220,9 @@
         self._outage_since: float | None = None
         self._is_reading = False
         self._probing_resource: _Resource | None = None
+        self._era: int | None = None
+        # Calls in progress; a restore of the store ends those that watch an earlier era.
+        self._polls: dict[_Resource, asyncio.Task] = {}
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -223,36 +256,66 @@
         """Returns the time of the node's clock in seconds."""
         return self._clock()
 
+    def note_era(self, era: int) -> None:
+        """Ends the watches of earlier eras, if the store was restored, so that all parts are read.
+
+        A watch that is pending when the store is restored may wait for a revision that the store
+        reaches again only much later, and report nothing until it times out.
+
+        Args:
+            era: an era that the store has stated to this node or to another one.
+        """
+        is_restored = self._era is not None and era > self._era
+        self._era = era if self._era is None else max(era, self._era)
+        if not is_restored:
+            return
+        for resource, poll in self._polls.items():
+            if resource.revision and StoreRevision.from_number(resource.revision).era < era:
+                poll.cancel()
+
     async def _run(self, resource: "_Resource") -> None:
         """Polls a resource while this node is a watcher, with backoff after failed calls."""
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S, self._rng)
         while True:
             if not self._may_call(resource):
-                resource.reset()
+                resource.interrupt()
                 await self._wait_until_allowed(resource)
             started = self._clock()
             try:
-                await resource.poll()
+                await self._poll(resource)
             except asyncio.CancelledError:
-                raise
+                if asyncio.current_task().cancelling():
+                    raise
+                # `note_era` has ended the call; the resource is read in the new era.
+                resource.reset()
+                continue
             except RevisionCompactedError as error:
                 log_event(_log, "history gone", part=resource.name, reason=str(error))
                 resource.reset()
             except StoreError as error:
-                resource.reset()
+                resource.interrupt()
                 self._on_failure(started, resource, error)
                 await asyncio.sleep(backoff.next_delay())
                 continue
             except Exception:
                 # An unexpected error in one resource must not end the watch for the whole fleet.
                 _log.exception("reading of the store failed")
-                resource.reset()
+                resource.interrupt()
                 await asyncio.sleep(backoff.next_delay())
                 continue
             backoff.reset()
             await self._on_success()
             await asyncio.sleep(resource.pop_call_delay())
 
+    async def _poll(self, resource: "_Resource") -> None:
+        self._polls[resource] = asyncio.ensure_future(resource.poll())
+        try:
+            await self._polls[resource]
+        finally:
+            del self._polls[resource]
+        if resource.revision:
+            self.note_era(StoreRevision.from_number(resource.revision).era)
+
     def _may_call(self, resource: "_Resource") -> bool:
         """Returns whether the task of a resource may call the store now.
 
@@ -310,8 +373,15 @@
         self._listener = listener
         self._store_sync = sync
         self._revision = 0
+        # Whether no change can have been missed since the last read, other than by a restore.
+        self._is_continuous = False
         self._call_delay = 0.0
 
+    @property
+    def revision(self) -> int:
+        """Packed revision from which the next watch continues, 0 if the next call is a read."""
+        return self._revision
+
     def pop_call_delay(self) -> float:
         """Returns the pause before the next call in seconds, and resets it to 0."""
         pause, self._call_delay = self._call_delay, 0.0
@@ -324,6 +394,24 @@
         """Discards the revision, so that the next call reads the complete resource."""
         self._revision = 0
 
+    def interrupt(self) -> None:
+        """Does the same after a failed call, or when this node stops to watch."""
+        self._is_continuous = False
+        self.reset()
+
+    def _version_to_rank(self, in_force: StateVersion, read: StateVersion) -> StateVersion:
+        """Returns the version for a part that was read and may be outdated.
+
+        A node that has not watched from before the restore to the end of the hold may have missed
+        changes, and must not impose the part that it merged on nodes that know better.
+
+        Args:
+            in_force: version of the part in force.
+            read: version of the part that was read.
+        """
+        is_behind = has_to_hold(in_force, read) and not self._is_continuous
+        return lowest_version(read) if is_behind else read
+
     async def poll(self) -> None:
         """Makes one call to the store and delivers its result."""
         raise NotImplementedError
@@ -347,29 +435,105 @@
             self._call_delay = BATCH_DELAY_S
 
 
-class _ZonesResource(_Resource):
-    """Synchronises the closed availability zones."""
+class _SnapshotResource(_Resource):
+    """A resource that is read as a whole after each change, with few items.
 
-    name = "closed zones"
-    index = 1
+    After a restore of the store the snapshot in force is held until operators have had time to
+    write theirs again. Only items that change meanwhile are taken from the store at once. A
+    subclass supplies the calls and the listener's methods; its snapshots have a `version`.
+    """
+
+    def __init__(self, store: Store, listener: StoreListener, sync: StoreSync) -> None:
+        super().__init__(store, listener, sync)
+        self._hold = RestoreHold(REREGISTRATION_S)
+        # The last snapshot that was read during the hold, and the items named since the first.
+        self._last_outdated: Any = None
+        self._named: frozenset[str] = frozenset()
 
     async def poll(self) -> None:
-        """Reads or watches the closed zones once."""
+        """Reads or watches the resource once."""
+        if self._hold.is_due(self._store_sync.now()):
+            self._revision = 0
         if self._revision:
-            self._revision = await self._store.watch_closed_zones(
-                self._revision, self._watch_timeout()
-            )
+            wait = self._hold.limit(self._store_sync.now(), self._watch_timeout())
+            self._revision = await self._watch(wait)
             return
-        closed = await self._store.read_closed_zones()
-        self._listener.on_closed_zones(closed)
-        self._revision = closed.version.revision
+        snapshot = await self._read()
+        in_force = self._version_in_force()
+        now = self._store_sync.now()
+        if self._hold.is_complete(now, in_force, snapshot.version):
+            self._last_outdated = None
+            self._deliver(snapshot)
+            self._hold.confirm(now, self._version_in_force())
+        else:
+            self._note_named(snapshot)
+            version = self._version_to_rank(in_force, snapshot.version)
+            self._deliver_outdated(dataclasses.replace(snapshot, version=version), self._named)
+        self._revision = snapshot.version.revision
+        self._is_continuous = True
+
+    def _note_named(self, snapshot: Any) -> None:
+        last, self._last_outdated = self._last_outdated, snapshot
+        if last is None or last.version.era != snapshot.version.era:
+            self._named = frozenset()
+        else:
+            self._named |= self._changed_names(last, snapshot)
+
+    async def _read(self) -> Any:
+        """Reads the snapshot."""
+        raise NotImplementedError
+
+    async def _watch(self, wait: float) -> int:
+        """Waits for a change; returns the revision to continue from, or 0 to read again."""
+        raise NotImplementedError
+
+    def _version_in_force(self) -> StateVersion:
+        """Returns the version of the snapshot in force."""
+        raise NotImplementedError
+
+    def _changed_names(self, old: Any, new: Any) -> frozenset[str]:
+        """Returns the names of the items that differ between two snapshots."""
+        raise NotImplementedError
+
+    def _deliver(self, snapshot: Any) -> None:
+        """Hands a snapshot to the listener that may replace the one in force."""
+        raise NotImplementedError
+
+    def _deliver_outdated(self, snapshot: Any, named: frozenset[str]) -> None:
+        """Hands a snapshot to the listener that is valid only for the named items."""
+        raise NotImplementedError
+
+
+class _ZonesResource(_SnapshotResource):
+    """Synchronises the closed availability zones."""
+
+    name = "closed zones"
+    index = 1
+
+    async def _read(self) -> ClosedZones:
+        return await self._store.read_closed_zones()
+
+    async def _watch(self, wait: float) -> int:
+        return await self._store.watch_closed_zones(self._revision, wait)
+
+    def _version_in_force(self) -> StateVersion:
+        return self._listener.state_versions.closed_zones
+
+    def _changed_names(self, old: ClosedZones, new: ClosedZones) -> frozenset[str]:
+        return frozenset(old.zones) ^ frozenset(new.zones)
+
+    def _deliver(self, snapshot: ClosedZones) -> None:
+        self._listener.on_closed_zones(snapshot)
+
+    def _deliver_outdated(self, snapshot: ClosedZones, named: frozenset[str]) -> None:
+        self._listener.on_outdated_closed_zones(snapshot, named)
 
 
 class _TargetsResource(_Resource):
     """Synchronises the registered targets.
 
-    After an outage of the store its list may lack targets that are still running, until they have
-    registered again. Removals are held back until the list has been read once more.
+    After an outage or a restore of the store its list may lack targets that are still running,
+    until they have registered again. Removals are held back until the list has been read once more.
     """
 
     name = "targets"
@@ -377,18 +541,16 @@
 
     def __init__(self, store: Store, listener: StoreListener, sync: StoreSync) -> None:
         super().__init__(store, listener, sync)
-        self._full_read_at: float | None = None
+        self._hold = RestoreHold(REREGISTRATION_S)
 
     async def poll(self) -> None:
         """Reads or watches the targets once."""
-        if self._full_read_at is not None and self._store_sync.now() >= self._full_read_at:
+        if self._hold.is_due(self._store_sync.now()):
             self._revision = 0
         if not self._revision:
             await self._read()
             return
-        wait = self._watch_timeout()
-        if self._full_read_at is not None:
-            wait = max(0.1, min(wait, self._full_read_at - self._store_sync.now()))
+        wait = self._hold.limit(self._store_sync.now(), self._watch_timeout())
         changes = await self._store.watch_targets(self._revision, wait)
         self._revision = changes.revision
         if not changes.changed and not changes.removed:
@@ -400,10 +562,14 @@
         outage = self._store_sync.outage_duration()
         targets = await self._store.read_targets()
         self._revision = targets.version.revision
-        if self._full_read_at is None and outage > REGISTRATION_EXPIRY_S:
-            self._full_read_at = self._store_sync.now() + REREGISTRATION_S
-        if self._full_read_at is not None and self._store_sync.now() < self._full_read_at:
-            self._listener.on_incomplete_targets(targets)
-            return
-        self._full_read_at = None
-        self._listener.on_targets(targets)
+        now = self._store_sync.now()
+        if not self._hold.is_active and outage > REGISTRATION_EXPIRY_S:
+            self._hold.begin(now)
+        in_force = self._listener.state_versions.targets
+        if not self._hold.is_complete(now, in_force, targets.version):
+            version = self._version_to_rank(in_force, targets.version)
+            self._listener.on_incomplete_targets(dataclasses.replace(targets, version=version))
+        else:
+            self._listener.on_targets(targets)
+            self._hold.confirm(now, self._listener.state_versions.targets)
+        self._is_continuous = True
