Move the start-up of a node out of entry.py

Change: `_bootstrap`, `_read_initial_state` and `_wait_until_ready` become node/bootstrap.py with the same behaviour. The log line "state not read" now names the logger orioleloftd.bootstrap.

--- /dev/null
+++ b/packages/node/orioleloftd/bootstrap.py
@@ -0,0 +1,123 @@
+"""Start-up of a node: it gets the shared state, joins the store watch and registers itself."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+from orioleloft_core.entrysettings import EntrySettings
+from orioleloft_core.messages import StoreAccess
+from orioleloft_core.updates import StateUpdate
+from orioleloftd.crasharchive import CrashArchive
+from orioleloftd.logs import log_event
+from orioleloftd.noderegistrar import NodeRegistrar
+from orioleloftd.peerprotocol import PeerProtocol
+from orioleloftd.sharedstate import SharedState
+from orioleloftd.storesync import Store, StoreError, StoreSync
+
+# When the whole fleet starts for the first time, a node waits for this delay plus a random part of
+# the jitter before it reads the store itself, in seconds. All nodes start within 0.3 s, so by then
+# they exchange pings and the watchers have read the store for all.
+FIRST_START_DELAY_S = 2.5
+FIRST_START_JITTER_S = 1.0
+# Time for which a restarted node waits for its seeds before it reads the store, in seconds; a
+# running seed answers within 20 ms.
+SEED_TIMEOUT_S = 0.1
+# Time after which a node that got the state from a peer has received pings from enough nodes to
+# decide whether it is a watcher, in seconds.
+MEMBERSHIP_DISCOVERY_S = 2.0
+READY_POLL_PERIOD_S = 0.02
+
+_log = logging.getLogger(__name__)
+
+
+class Bootstrap:
+    """Runs the start-up of a node once.
+
+    Args:
+        settings: settings of this node.
+        state: shared state of this node.
+        is_ready: returns whether the node has the shared state and is not stopping.
+        peers: asks the seeds, and announces the node's access to the store.
+        store: client of the store.
+        store_sync: the store watch.
+        crash_archive: reads and saves the blocked requests.
+        registrar: registers the node in the store.
+        spawn: runs a coroutine as a background task.
+        clock: returns seconds of the node's clock.
+        rng: random number generator for jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        state: SharedState,
+        is_ready: Callable[[], bool],
+        peers: PeerProtocol,
+        store: Store,
+        store_sync: StoreSync,
+        crash_archive: CrashArchive,
+        registrar: NodeRegistrar,
+        spawn: Callable[[Awaitable[None]], None],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._state = state
+        self._is_ready = is_ready
+        self._peers = peers
+        self._store = store
+        self._store_sync = store_sync
+        self._crash_archive = crash_archive
+        self._registrar = registrar
+        self._spawn = spawn
+        self._clock = clock
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Gets the shared state, joins the store watch, and registers the node until cancelled."""
+        self._peers.fetch_from_seeds(self._settings.seeds, not self._settings.is_fleet_bootstrap)
+        wait = SEED_TIMEOUT_S
+        if self._settings.is_fleet_bootstrap:
+            wait = FIRST_START_DELAY_S + self._rng.random() * FIRST_START_JITTER_S
+        await self._wait_until_ready(wait)
+        if not self._is_ready():
+            await self._read_initial_state()
+        self._store_sync.start()
+        if self._is_ready():
+            # Other nodes are running. Whether this node is a watcher is known once their pings
+            # arrive.
+            await asyncio.sleep(MEMBERSHIP_DISCOVERY_S)
+        # From here on this node may be selected as a watcher.
+        self._peers.update(store=StoreAccess.READY)
+        self._spawn(self._crash_archive.run())
+        await self._registrar.run()
+
+    async def _read_initial_state(self) -> None:
+        """Reads the shared state from the store because no peer has supplied it.
+
+        Every node does so after a loss of all power. A stale read costs a tenth of a call, and
+        the watchers disseminate newer versions.
+        """
+        try:
+            # The blocks come first, as with the rest this node begins to serve.
+            _, (table, _), targets, closed = await asyncio.gather(
+                self._crash_archive.load(),
+                self._store.read_table(allow_stale=True),
+                self._store.read_targets(allow_stale=True),
+                self._store.read_closed_zones(allow_stale=True),
+            )
+        except StoreError as error:
+            log_event(_log, "state not read", logging.WARNING, reason=str(error))
+            return
+        except Exception:
+            # The bootstrap goes on to the watch, which reads the store again.
+            _log.exception("initial read failed unexpectedly")
+            return
+        self._state.apply_initial(StateUpdate(table, targets, closed))
+
+    async def _wait_until_ready(self, seconds: float) -> None:
+        end = self._clock() + seconds
+        while not self._is_ready() and self._clock() < end:
+            await asyncio.sleep(READY_POLL_PERIOD_S)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -29,7 +29,7 @@
 from orioleloft_core.routes import DEFAULT_LIMITS, CallerLimits, Route, RouteTable, TrafficSplitter
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloft_core.stopping import GracefulShutdown
-from orioleloft_core.updates import StateUpdate
+from orioleloftd.bootstrap import Bootstrap
 from orioleloftd.connections import HttpClient
 from orioleloftd.controlserver import ControlResponse, ControlServer
 from orioleloftd.crasharchive import CrashArchive
@@ -44,7 +44,7 @@
 from orioleloftd.requestcontext import CallerReply, CallerRequest
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
 from orioleloftd.shutdown import ShutdownSequence
-from orioleloftd.storesync import Store, StoreError, StoreSync
+from orioleloftd.storesync import Store, StoreSync
 from orioleloftd.wire import WireFormat
 
 # Budgets of the fleet (retries, probes) are divided by the number of registered nodes, reachable or
@@ -76,18 +76,6 @@
 # Fraction of the memory that request and response bodies may take. Joining the chunks of a body
 # holds it twice for a moment, and an idle node takes a sixth of the smallest VM.
 BODY_MEMORY_FRACTION = 0.25
-# When the whole fleet starts for the first time, a node waits for this delay plus a random part of
-# the jitter before it reads the store itself, in seconds. All nodes start within 0.3 s, so by then
-# they exchange pings and the watchers have read the store for all.
-FIRST_START_DELAY_S = 2.5
-FIRST_START_JITTER_S = 1.0
-# Time for which a restarted node waits for its seeds before it reads the store, in seconds; a
-# running seed answers within 20 ms.
-SEED_TIMEOUT_S = 0.1
-# Time after which a node that got the state from a peer has received pings from enough nodes to
-# decide whether it is a watcher, in seconds.
-MEMBERSHIP_DISCOVERY_S = 2.0
-READY_POLL_PERIOD_S = 0.02
 # Bounds of the random `Retry-After` of a caller that is refused because this node stops, in
 # seconds.
 STOPPING_RETRY_AFTER_MIN_S = 0.05
@@ -175,6 +163,19 @@
         self._shutdown_sequence = ShutdownSequence(
             self._shutdown, self._caller_server, self._peer_protocol.announce, node_clock
         )
+        self._bootstrap = Bootstrap(
+            settings=settings,
+            state=self._state,
+            is_ready=lambda: self.is_ready,
+            peers=self._peer_protocol,
+            store=store,
+            store_sync=self._store_sync,
+            crash_archive=self._crash_archive,
+            registrar=self._registrar,
+            spawn=self._spawn,
+            clock=node_clock,
+            rng=self._rng,
+        )
 
     def _initial_state(self) -> NodeState:
         settings = self._settings
@@ -270,7 +271,7 @@
         log_event(
             _log, "started", incarnation=self._fleet.own_state.incarnation, zone=settings.zone
         )
-        self._spawn(self._bootstrap())
+        self._spawn(self._bootstrap.run())
         self._spawn(self._run_periodically(membership.PING_PERIOD_S, self._tick))
         self._spawn(self._sample_lag())
         self._spawn(self._run_periodically(SWEEP_PERIOD_S, self._forwarder.sweep))
@@ -306,55 +307,6 @@
                 log_event(_log, "busy" if monitor.is_busy else "busy no more")
                 self._peer_protocol.update(is_busy=monitor.is_busy)
 
-    async def _bootstrap(self) -> None:
-        """Bootstraps the node: gets the shared state, joins the store watch, registers the node."""
-        self._peer_protocol.fetch_from_seeds(
-            self._settings.seeds, not self._settings.is_fleet_bootstrap
-        )
-        wait = SEED_TIMEOUT_S
-        if self._settings.is_fleet_bootstrap:
-            wait = FIRST_START_DELAY_S + self._rng.random() * FIRST_START_JITTER_S
-        await self._wait_until_ready(wait)
-        if not self.is_ready:
-            await self._read_initial_state()
-        self._store_sync.start()
-        if self.is_ready:
-            # Other nodes are running. Whether this node is a watcher is known once their pings
-            # arrive.
-            await asyncio.sleep(MEMBERSHIP_DISCOVERY_S)
-        # From here on this node may be selected as a watcher.
-        self._peer_protocol.update(store=StoreAccess.READY)
-        self._spawn(self._crash_archive.run())
-        await self._registrar.run()
-
-    async def _read_initial_state(self) -> None:
-        """Reads the shared state from the store because no peer has supplied it.
-
-        Every node does so after a loss of all power. A stale read costs a tenth of a call, and
-        the watchers disseminate newer versions.
-        """
-        try:
-            # The blocks come first, as with the rest this node begins to serve.
-            _, (table, _), targets, closed = await asyncio.gather(
-                self._crash_archive.load(),
-                self._store.read_table(allow_stale=True),
-                self._store.read_targets(allow_stale=True),
-                self._store.read_closed_zones(allow_stale=True),
-            )
-        except StoreError as error:
-            log_event(_log, "state not read", logging.WARNING, reason=str(error))
-            return
-        except Exception:
-            # The bootstrap goes on to the watch, which reads the store again.
-            _log.exception("initial read failed unexpectedly")
-            return
-        self._state.apply_initial(StateUpdate(table, targets, closed))
-
-    async def _wait_until_ready(self, seconds: float) -> None:
-        end = node_clock() + seconds
-        while not self.is_ready and node_clock() < end:
-            await asyncio.sleep(READY_POLL_PERIOD_S)
-
     def stop(self) -> None:
         """Starts a graceful shutdown; further calls have no effect."""
         if not self._shutdown.begin(node_clock()):
