Start-up: overlap the waits for seeds and store, let early requests wait

Cause: a restarted node waited 0.1 s for its seeds before it read the store, in steps of 20 ms. After a power failure of all nodes every seed is down and the wait was lost; callers that came meanwhile got 503.

Change: the read of the store starts 20 ms after the seeds were asked, and the first complete state is used; an event replaces the polls. While no table is known no request counts as idempotent: two payments on one connection that wait for the table would otherwise run at the same time. The first start of a fleet stays as it was.

--- a/packages/node/orioleloftd/bootstrap.py
+++ b/packages/node/orioleloftd/bootstrap.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -13,6 +14,7 @@
 from orioleloftd.noderegistrar import NodeRegistrar
 from orioleloftd.peerprotocol import PeerProtocol
 from orioleloftd.sharedstate import SharedState
+from orioleloftd.startupgate import StartupGate
 from orioleloftd.storesync import Store, StoreError, StoreSync
 
 # When the whole fleet starts for the first time, a node waits for this delay plus a random part of
@@ -20,13 +22,15 @@
 # they exchange pings and the watchers have read the store for all.
 FIRST_START_DELAY_S = 2.5
 FIRST_START_JITTER_S = 1.0
-# Time for which a restarted node waits for its seeds before it reads the store, in seconds; a
-# running seed answers within 20 ms.
+# Time for which a restarted node waits for its seeds before it reads the store as well, in seconds.
+# A running seed answers within 10 ms, and a read that is not needed is billed.
+SEED_HEAD_START_S = 0.02
+# Time for which a restarted node waits for its seeds if the store cannot be read, in seconds. After
+# that it takes itself to be alone and offers to watch the store.
 SEED_TIMEOUT_S = 0.1
 # Time after which a node that got the state from a peer has received pings from enough nodes to
 # decide whether it is a watcher, in seconds.
 MEMBERSHIP_DISCOVERY_S = 2.0
-READY_POLL_PERIOD_S = 0.02
 
 _log = logging.getLogger(__name__)
 
@@ -37,6 +41,7 @@
     Args:
         settings: settings of this node.
         state: shared state of this node.
+        gate: tells when the shared state is complete.
         is_ready: returns whether the node has the shared state and is not stopping.
         peers: asks the seeds, and announces the node's access to the store.
         store: client of the store.
@@ -53,6 +58,7 @@
         *,
         settings: EntrySettings,
         state: SharedState,
+        gate: StartupGate,
         is_ready: Callable[[], bool],
         peers: PeerProtocol,
         store: Store,
@@ -65,6 +71,7 @@
     ) -> None:
         self._settings = settings
         self._state = state
+        self._gate = gate
         self._is_ready = is_ready
         self._peers = peers
         self._store = store
@@ -78,12 +85,10 @@
     async def run(self) -> None:
         """Gets the shared state, joins the store watch, and registers the node until cancelled."""
         self._peers.fetch_from_seeds(self._settings.seeds, not self._settings.is_fleet_bootstrap)
-        wait = SEED_TIMEOUT_S
         if self._settings.is_fleet_bootstrap:
-            wait = FIRST_START_DELAY_S + self._rng.random() * FIRST_START_JITTER_S
-        await self._wait_until_ready(wait)
-        if not self._is_ready():
-            await self._read_initial_state()
+            await self._wait_for_first_start()
+        else:
+            await self._wait_for_seeds_or_store()
         self._store_sync.start()
         if self._is_ready():
             # Other nodes are running. Whether this node is a watcher is known once their pings
@@ -94,6 +99,32 @@
         self._spawn(self._crash_archive.run())
         await self._registrar.run()
 
+    async def _wait_for_first_start(self) -> None:
+        """Waits for the state from the watchers, and reads the store if there is none."""
+        delay = FIRST_START_DELAY_S + self._rng.random() * FIRST_START_JITTER_S
+        if not await self._gate.wait(self._clock() + delay):
+            await self._read_initial_state()
+
+    async def _wait_for_seeds_or_store(self) -> None:
+        """Waits for the state from a seed or from the store, whichever supplies it first.
+
+        An answer of a seed that comes after the read still replaces older parts of the state.
+        """
+        started_at = self._clock()
+        if await self._gate.wait(started_at + SEED_HEAD_START_S):
+            return
+        loop = asyncio.get_running_loop()
+        reading = loop.create_task(self._read_initial_state())
+        completing = loop.create_task(self._gate.wait(math.inf))
+        try:
+            await asyncio.wait((reading, completing), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            completing.cancel()
+            reading.cancel()
+        if reading.done():
+            reading.result()
+        await self._gate.wait(started_at + SEED_TIMEOUT_S)
+
     async def _read_initial_state(self) -> None:
         """Reads the shared state from the store because no peer has supplied it.
 
@@ -116,8 +147,3 @@
             _log.exception("initial read failed unexpectedly")
             return
         self._state.apply_initial(StateUpdate(table, targets, closed))
-
-    async def _wait_until_ready(self, seconds: float) -> None:
-        end = self._clock() + seconds
-        while not self._is_ready() and self._clock() < end:
-            await asyncio.sleep(READY_POLL_PERIOD_S)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -44,6 +44,7 @@
 from orioleloftd.requestcontext import CallerReply, CallerRequest
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
 from orioleloftd.shutdown import ShutdownSequence
+from orioleloftd.startupgate import StartupGate
 from orioleloftd.storesync import Store, StoreSync
 from orioleloftd.wire import WireFormat
 
@@ -120,6 +121,9 @@
         self._probe_rate_versions: tuple[object, ...] = ()
         self._cached_probe_rate = 0.0
         self._state = SharedState(self._on_state_change)
+        self._startup_gate = StartupGate(
+            lambda: self._state.is_complete, node_clock, not settings.is_fleet_bootstrap
+        )
         self._logged_limits: dict[str, dict[int, int]] = {}
         self._applied_table: RouteTable | None = None
         self._traffic_splitter = TrafficSplitter(self._rng)
@@ -166,6 +170,7 @@
         self._bootstrap = Bootstrap(
             settings=settings,
             state=self._state,
+            gate=self._startup_gate,
             is_ready=lambda: self.is_ready,
             peers=self._peer_protocol,
             store=store,
@@ -345,6 +350,7 @@
             log_event(_log, "ready", table=table.version)
         self._peer_protocol.on_state_change(origin, before.state_versions)
         self._peer_protocol.update(is_ready=self.is_ready)
+        self._startup_gate.on_state_change()
 
     def _on_store_access(self, access: StoreAccess) -> None:
         """Announces whether this node can reach the store."""
@@ -453,9 +459,15 @@
         return self._shutdown.has_begun
 
     def is_idempotent(self, request: CallerRequest) -> bool:
-        """Whether a request may be executed more than once; true if no route matches it."""
+        """Whether a request may be executed more than once; true if no route matches it.
+
+        Before a route table is known, no request is known to be idempotent. It may wait for the
+        table, so those behind it on its connection must not run ahead of it.
+        """
         table = self._state.table
-        route = table.route(request.host, request.path) if table else None
+        if table is None:
+            return False
+        route = table.route(request.host, request.path)
         return route is None or route.is_idempotent
 
     def reserve_memory(self, size: int) -> bool:
@@ -468,6 +480,8 @@
 
     async def serve(self, request: CallerRequest) -> CallerReply:
         """Routes and forwards a request, records its metrics and logs the result."""
+        if not self._state.is_complete and not self._shutdown.has_begun:
+            await self._startup_gate.wait_until_complete(_caller_deadline(request))
         table = self._state.table
         if not self._state.is_complete:
             reply = self._error_reply(request, ErrorCode.NODE_STARTING, "no configuration is known")
@@ -535,6 +549,13 @@
         )
 
 
+def _caller_deadline(request: CallerRequest) -> float:
+    """Returns when the caller gives up, in seconds on the node's clock."""
+    if request.caller_timeout is None:
+        return math.inf
+    return request.arrived_at + request.caller_timeout
+
+
 def _time_limit(request: CallerRequest, route: Route | None) -> float:
     """Returns the longest time that a request may still take, in seconds."""
     if route is None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -147,6 +147,19 @@
         reply = await node.serve(request)
         self.assertEqual((reply.code, reply.status), (code, status))
 
+    @async_test
+    async def test_request_during_bootstrap(self):
+        """Guards against a 503 while the state is read, and against overtaking on a connection."""
+        node = self.start(InMemoryStore())
+        request = CallerRequest("r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), 9)
+        self.assertFalse(node.is_idempotent(request))
+        serving = asyncio.create_task(node.serve(request))
+        await asyncio.sleep(0)
+        self.assertFalse(serving.done())
+        await node.start()
+        self.assertEqual((await serving).code, ErrorCode.UNKNOWN_ROUTE)
+        self.assertTrue(node.is_idempotent(request))
+
     @async_test
     async def test_blocks_before_the_state(self):
         """Guards against a restarted node that serves before it knows what crashes targets."""
