Fail attempts whose response has no valid status

Cause: tornado's parser accepts any three digits. A target's response with status 000, 001, 099, 600 or 999 reached the caller as it was, and with `X-Not-Executed` status 000 passed for a proof that a payment was not run. A 101 ended nothing: the node waited for a final response until the deadline. Probes with such a status counted as no failure, and calls to the store or to other nodes waited for their whole timeout.

Change: connections.py refuses a status outside 100 to 599, and 101, as the header block is read. The attempt is BROKEN (outcome unknown), counts against the target, and the connection is closed; the same holds for probes, the store and other nodes. Other interim responses before a final one stay legal. Two digits, four digits, signs, spaces and other digits than ASCII were refused by the parser before; the table keeps it so.

Result: tests.test_invalidresponses before the change: 18 passed, 15 failed, among them AssertionError: HttpResponse(status=0, ...) is not an instance of <class 'orioleloftd.connections.ExchangeError'> AssertionError: Tuples differ: (0, None) != (502, <ErrorCode.TARGET_BROKE_OFF: 'target-broke-off'>) AssertionError: Tuples differ: (503, <ErrorCode.TARGET_SHED: 'target-shed'>) != (502, ...) AssertionError: 'no response' unexpectedly found in 'no response in 3.0 s' After it: 33 passed; with test_connections, test_endless, test_peering, test_forwarding and test_platformstore: 151 passed, 0 failed.

--- a/packages/node/orioleloftd/connections.py
+++ b/packages/node/orioleloftd/connections.py
@@ -27,6 +27,13 @@
 # the end of that time.
 IDLE_TIMEOUT_FRACTION = 0.8
 
+# Statuses of responses; RFC 9110 defines no others. A target in trouble has sent 000.
+MIN_STATUS = 100
+MAX_STATUS = 599
+# The peer goes on in another protocol, which no request here asks for. Unlike other interim
+# responses it is followed by no final one.
+SWITCHING_PROTOCOLS = 101
+
 # Largest read from the socket, in bytes.
 READ_CHUNK_BYTES = 64 * 1024
 # Receive buffer, in bytes: a header block and a chunk.
@@ -92,12 +99,17 @@
 
 
 class _ResponseReader(httputil.HTTPMessageDelegate):
-    """Collects one response and enforces its limits.
+    """Collects one response, checks its status and enforces its limits.
 
     Args:
         limits: size limits.
         on_complete: called when the response is complete.
         memory: account that is charged for the body.
+
+    Attributes:
+        fault: why there is no complete response, if there is none.
+        is_complete: whether the response is complete.
+        is_oversized: whether the peer has exceeded a limit.
     """
 
     def __init__(
@@ -109,6 +121,7 @@
         self._chunks: list[bytes] = []
         self._status = 0
         self._headers = httputil.HTTPHeaders()
+        self.fault = "no complete response was read"
         self.is_complete = False
         self.is_oversized = False
 
@@ -124,7 +137,11 @@
         return "Content-Length" in self._headers or "Transfer-Encoding" in self._headers
 
     def headers_received(self, start_line, headers) -> None:
-        self._status = start_line.code
+        code = start_line.code
+        if not MIN_STATUS <= code <= MAX_STATUS or code == SWITCHING_PROTOCOLS:
+            self.fault = f"{code:03} is no status of a response"
+            raise httputil.HTTPInputError(self.fault)
+        self._status = code
         self._headers = headers
         stated_length = headers.get("Content-Length", "")
         if (
@@ -257,7 +274,7 @@
             self.close()
             raise
         self.close()
-        raise ExchangeError("no complete response was read", True, self._is_oversized(reader))
+        raise ExchangeError(reader.fault, True, self._is_oversized(reader))
 
     def _is_oversized(self, reader: _ResponseReader) -> bool:
         """Whether the peer has exceeded the limit of the header block or the body."""
