Rank unequal nodes by their capacity

Cause: a VM with 0.3 of a core got as many callers as one with 2.15, as placement knew nothing of the nodes but their zones. Only the busy state corrected that, after the node was overloaded.

Change: settings state share x cores and link; core/nodecapacity.py makes one number of them and the memory. Where capacities in a zone differ by more than a factor of 1.5, placement and directory rank by weighted rendezvous hashing, and nodes below a quarter of the best are no receivers while two others are not busy. Owners of cold targets and rate limits follow the same ranking over registered nodes, alive or not. Capacities travel in a datagram of their own, CapacityReport: nodes of the previous build drop it and read all other messages, which are unchanged byte for byte; a field in the state would have split a mixed fleet in two. Capacities count in a zone only once those of all its registered nodes are known, so nodes hold one of two rankings and the bound over two sets of owners stays. Without limits.cpu_share and limits.cores in the settings nothing is sent. test_messages pins the new datagram (one row, one name more); malformed figures do not stop a node, as they were ignored before.

--- a/packages/core/orioleloft_core/discovery.py
+++ b/packages/core/orioleloft_core/discovery.py
@@ -4,6 +4,7 @@
 
 from orioleloft_core import hashing, placement
 from orioleloft_core.messages import NodeState
+from orioleloft_core.nodecapacity import NodeMap
 
 # Fewest serving nodes in the caller's zone for which only hosts of this zone are returned.
 MIN_LOCAL_NODES = 2
@@ -23,7 +24,7 @@
     zone do not overload its last nodes.
 
     Args:
-        serving_nodes: the nodes that serve callers.
+        serving_nodes: the nodes that serve callers, with their capacities.
         own: state of this node, whose host is the fallback if no node is known to serve.
         zone: availability zone of the caller.
         service: service that the caller wants to reach.
@@ -32,8 +33,12 @@
     states = {state.name: state for state in serving_nodes}
     if not states:
         return [] if own.is_leaving else [own.host]
-    zones = {name: state.zone for name, state in states.items()}
-    local = placement.ranked_nodes(service, zones, zone)
+    zones = NodeMap(
+        {name: state.zone for name, state in states.items()},
+        {name: state.capacity for name, state in states.items()},
+    )
+    busy = {name for name, state in states.items() if state.is_busy}
+    local = placement.ranked_nodes(service, zones, zone, busy)
     if len(local) >= MIN_LOCAL_NODES:
         return [states[name].host for name in _with_spares_for_busy(local, states)[:limit]]
     others = [name for name in hashing.rendezvous_order(service, states) if name not in local]
@@ -42,7 +47,10 @@
 
 
 def _with_spares_for_busy(ranked_nodes: list[str], states: Mapping[str, NodeState]) -> list[str]:
-    """Returns the first nodes in rank order, with one spare for each that is busy."""
+    """Returns the first nodes in rank order, with one spare for each that is busy.
+
+    Weak nodes are not among them, and so no spares, while strong ones have room.
+    """
     selected = []
     needed = placement.RECEIVERS_PER_ZONE
     for name in ranked_nodes:
--- a/packages/core/orioleloft_core/entrysettings.py
+++ b/packages/core/orioleloft_core/entrysettings.py
@@ -96,6 +96,8 @@
         memory_bytes: memory limit of the process.
         min_address_ttl: minimum TTL of the entry addresses that callers receive, in seconds.
         bounds: limits that the operators set.
+        cpu_cores: cores that the node may use, or None if they are not stated.
+        link_mbps: rate of its link in Mbit/s, or None if it is not stated.
     """
 
     name: str
@@ -111,6 +113,8 @@
     memory_bytes: int = 300 * 1024 * 1024
     min_address_ttl: float = 1.0
     bounds: OperatorBounds = OperatorBounds()
+    cpu_cores: float | None = None
+    link_mbps: float | None = None
 
     def __post_init__(self) -> None:
         """Checks name, zone and grace period.
--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -23,6 +23,7 @@
     SuspectedNode,
     Suspicion,
 )
+from orioleloft_core.nodecapacity import NodeMap
 from orioleloft_core.watcherelection import WatcherElection
 
 # Maximum number of nodes in one suspicion; 30 names take about 1 KB.
@@ -52,7 +53,8 @@
         self._disseminator = Disseminator(state.zone, rng)
         self._watcher_election = WatcherElection()
         self._entry_cache = EntryHostCache()
-        self._cached_zones: tuple[int, dict[str, str]] = (-1, {})
+        self._cached_zones: tuple[int, NodeMap] = (-1, NodeMap({}, {}))
+        self._capacities: dict[str, float] = {}
         self._ahead: set[str] = set()
         self._election_version = -1
         self._refuted_at = -REFUTATION_PERIOD_S
@@ -70,13 +72,21 @@
         return self._version
 
     @property
-    def zones(self) -> dict[str, str]:
+    def zones(self) -> NodeMap:
         """Availability zones by node name, of all known nodes whether alive or not."""
         if self._cached_zones[0] != self._version:
             zones = {member.name: member.zone for member in self._members.members}
-            self._cached_zones = self._version, zones | {self._own.name: self._own.zone}
+            zones[self._own.name] = self._own.zone
+            self._capacities = {n: c for n, c in self._capacities.items() if n in zones}
+            self._cached_zones = self._version, NodeMap(zones, self._capacities)
         return self._cached_zones[1]
 
+    def set_capacity(self, name: str, capacity: float) -> None:
+        """Sets the capacity of a known node, which is kept while the node is down."""
+        if name in self.zones and self._capacities.get(name) != capacity:
+            self._capacities = {**self._capacities, name: capacity}
+            self._on_change()
+
     def _on_change(self) -> None:
         self._version += 1
 
@@ -119,8 +129,22 @@
         return [member.state for member in self._members.alive()]
 
     def serving_nodes(self) -> list[NodeState]:
-        """Returns the states of the nodes that serve callers, including this one."""
-        return [s for s in [self._own, *self.alive()] if s.is_ready and not s.is_leaving]
+        """Returns the states of the nodes that serve callers, including this one.
+
+        They have the capacities of the nodes if those of all registered nodes of their zone are
+        known, so that callers are sent to the nodes that are owners of cold targets.
+        """
+        serving = [s for s in [self._own, *self.alive()] if s.is_ready and not s.is_leaving]
+        zones = self.zones
+        unknown = {zone for name, zone in zones.items() if name not in zones.capacities}
+        return [
+            (
+                state
+                if state.zone in unknown
+                else dataclasses.replace(state, capacity=zones.capacities[state.name])
+            )
+            for state in serving
+        ]
 
     def nodes_ahead(self) -> list[NodeState]:
         """Returns the live nodes that hold a newer version of any part of the shared state."""
--- a/packages/core/orioleloft_core/hashing.py
+++ b/packages/core/orioleloft_core/hashing.py
@@ -1,7 +1,8 @@
 """Rendezvous hashing, and hashes that identify content."""
 
 import hashlib
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
 
 DIGEST_BYTES = 8
 
@@ -18,6 +19,27 @@
     return sorted(candidates, key=lambda candidate: _score(key, candidate))
 
 
+def weighted_rendezvous_order(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Sorts candidates by their weighted rendezvous hash with a key.
+
+    A candidate is the first with a probability in proportion to its weight. With equal weights the
+    order is that of `rendezvous_order`, and a change of one weight moves only its own candidate.
+
+    Args:
+        key: name of the item to place.
+        weights: weights of the places by their names, all greater than 0.
+    """
+
+    def rank(candidate: str) -> tuple[float, bytes]:
+        score = _score(key, candidate)
+        fraction = int.from_bytes(score, "big") / 2 ** (8 * DIGEST_BYTES)
+        # -log(1 - fraction) / weight is the time of the first event of a process with this rate.
+        # The greatest scores round to 1, of which there is no logarithm.
+        return -math.log1p(-min(fraction, 1 - 2**-53)) / weights[candidate], score
+
+    return sorted(weights, key=rank)
+
+
 def fingerprint(*parts: bytes) -> str:
     """Returns a hash of the parts as 32 hex digits; each part is hashed with its length."""
     digest = hashlib.blake2b(digest_size=16)
--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -9,7 +9,7 @@
 import enum
 from typing import ClassVar
 
-from orioleloft_core import packing
+from orioleloft_core import nodecapacity, packing
 from orioleloft_core.contention import RouteStatistics
 from orioleloft_core.crashes import CrashRecord
 from orioleloft_core.ratelimits import RateLimitNotice
@@ -65,7 +65,8 @@
         is_busy: whether the node is at its capacity.
         store: access to the platform's store.
         state_versions: versions of the shared state that the node holds.
-        capacity: what the node can bear, relative to others; 0 if it is not known.
+        capacity: requests per second that the node can handle; 0 if it is not known. It is not
+            sent, as nodes of the previous build refuse it; `CapacityReport` tells it.
     """
 
     name: str
@@ -271,6 +272,39 @@
     delivery: Delivery = Delivery.DIRECT
 
 
+@dataclasses.dataclass(frozen=True)
+class NodeCapacity:
+    """Capacity of a node; see `nodecapacity`.
+
+    Raises:
+        ValueError: the capacity is out of range.
+    """
+
+    name: str
+    capacity: float
+
+    def __post_init__(self) -> None:
+        if not nodecapacity.is_valid(self.capacity):
+            raise ValueError(f"{self.capacity} is no capacity of a node.")
+
+
+@dataclasses.dataclass(frozen=True)
+class CapacityReport:
+    """Tells capacities, either broadcast by their node or sent to one node that asks for them.
+
+    Attributes:
+        state: state of the sender.
+        capacities: the sender's own capacity, and others that it knows.
+        wanted: names of nodes whose capacities the sender asks for.
+        delivery: how the datagram got to the receiver.
+    """
+
+    state: NodeState
+    capacities: tuple[NodeCapacity, ...]
+    wanted: tuple[str, ...]
+    delivery: Delivery = Delivery.DIRECT
+
+
 # Datagrams that are disseminated through relays.
 Broadcast = (
     Announcement
@@ -280,6 +314,7 @@
     | CrashReport
     | ContentionReport
     | RateLimitReport
+    | CapacityReport
 )
 Datagram = Ping | PingAnswer | Introduction | Broadcast
 _CLASSES = packing.classes_of(Datagram)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from orioleloft_core import membership, placement
+from orioleloft_core import membership, nodecapacity, placement
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.entrysettings import EntrySettings
@@ -16,6 +16,7 @@
 from orioleloft_core.looplag import LoopLagMonitor
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.messages import (
+    CapacityReport,
     ContentionReport,
     Datagram,
     NodeState,
@@ -30,6 +31,7 @@
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloft_core.stopping import GracefulShutdown
 from orioleloftd.bootstrap import Bootstrap
+from orioleloftd.capacityexchange import CapacityExchange
 from orioleloftd.connections import HttpClient
 from orioleloftd.controlserver import ControlResponse, ControlServer
 from orioleloftd.crasharchive import CrashArchive
@@ -153,6 +155,16 @@
             clock=node_clock,
             rng=self._rng,
         )
+        self._capacity = nodecapacity.node_capacity(
+            settings.cpu_cores, settings.link_mbps, settings.memory_bytes
+        )
+        self._capacity_exchange = CapacityExchange(
+            self._capacity,
+            self._fleet,
+            self._transport,
+            node_clock,
+            self._rng,
+        )
         self._store_sync = StoreSync(
             store, self._state, self._is_watcher, self._on_store_access, node_clock, self._rng
         )
@@ -274,7 +286,11 @@
             server = ControlServer(self._serve_metrics)
             server.listen(settings.metrics_endpoint.host, settings.metrics_endpoint.port)
         log_event(
-            _log, "started", incarnation=self._fleet.own_state.incarnation, zone=settings.zone
+            _log,
+            "started",
+            incarnation=self._fleet.own_state.incarnation,
+            zone=settings.zone,
+            capacity=self._capacity,
         )
         self._spawn(self._bootstrap.run())
         self._spawn(self._run_periodically(membership.PING_PERIOD_S, self._tick))
@@ -360,12 +376,15 @@
 
     def _tick(self) -> None:
         self._peer_protocol.tick()
+        self._capacity_exchange.tick()
         # Each waiting resource loop ranks the watcher candidates again, so only watchers are woken.
         if self._is_watcher():
             self._spawn(self._store_sync.wake_waiting_tasks())
 
     def _on_datagram(self, datagram: Datagram) -> None:
         self._peer_protocol.on_datagram(datagram)
+        if isinstance(datagram, CapacityReport):
+            self._capacity_exchange.on_report(datagram)
 
     def on_target_report(self, now: float, report: TargetReport) -> None:
         """Adds another node's report to the observations of the target, for outlier detection."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -122,6 +122,17 @@
         self.assertEqual(settings.memory_bytes, 200 * 1024 * 1024)
         self.assertTrue(settings.is_fleet_bootstrap)
 
+    @params(
+        ("limits.cpu_share=0.5,limits.cores=3,limits.link_mbps=20", 1.5, 20.0),
+        ("limits.cpu_share=0.5", None, None),
+        ("limits.cores=3,limits.link_mbps=0", None, None),
+        ("limits.cpu_share=nan,limits.cores=3,limits.link_mbps=fast", None, None),
+    )
+    def test_capacity_of_the_node(self, lines, cpu_cores, link_mbps):
+        """Guards against a node that does not start because a figure of its VM is malformed."""
+        settings = parse_settings("\n".join([SETTINGS_FILE, *lines.split(",")]))
+        self.assertEqual((settings.cpu_cores, settings.link_mbps), (cpu_cores, link_mbps))
+
     @params("node=", "zone=", "listen.front=", "platform.address=")
     def test_missing_field(self, prefix):
         """Guards against a node that starts without its name, zone, listening address or store."""
