Hand over no slot of a target that has become cold

Cause: a request that ended handed its slot and connection to the next queued request without a look at slow start. The node may not be an owner of the target, or may have used its share of the limit.

Change: hand_over_slot and the waiter that takes the slot check that the target is not cold; its connection goes back to the pool.

Result: the new test failed before the change, "[200, 200, 200] != [200, 503, 503]" (two requests at a cold target of a node that is no owner), and passes after it; tests.test_forwarding and tests.test_ratelimits pass.

--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -282,10 +282,8 @@
         service_time = self._service_times.expected(
             context.route.name, context.route.target_latency
         )
-        is_eligible = (
-            candidate.target.id not in context.tried_target_ids
-            and self._registry.is_eligible(candidate.target)
-            and not self._rate_limits.is_limited(candidate.target)
+        is_eligible = candidate.target.id not in context.tried_target_ids and self._may_hand_over(
+            now, candidate.target
         )
         if not (
             is_eligible
@@ -303,16 +301,25 @@
         """
         queue = self._queues.get(service)
         waiter = queue.head if queue else None
-        is_free = self._selector.has_free_slot(self._clock(), candidate) and connection.is_usable
-        is_eligible = self._registry.is_eligible(
-            candidate.target
-        ) and not self._rate_limits.is_limited(candidate.target)
-        if waiter is None or not is_free or not is_eligible:
+        now = self._clock()
+        is_free = self._selector.has_free_slot(now, candidate) and connection.is_usable
+        if waiter is None or not is_free or not self._may_hand_over(now, candidate.target):
             self._access.release(candidate.target, connection)
             return
         queue.dequeue(waiter)
         waiter.handle.put(candidate, connection)
 
+    def _may_hand_over(self, now: float, target: RegisteredTarget) -> bool:
+        """Whether a request may take over a slot of a target that another one has freed.
+
+        Not if the target has become cold since, so that slow start holds for the request.
+        """
+        return (
+            self._registry.is_eligible(target)
+            and not self._rate_limits.is_limited(target)
+            and not self._access.observations(target).is_cold(now)
+        )
+
     async def _select_target(self, context: RequestContext) -> SelectedTarget | None:
         """Selects a target for which this node holds a permit, or else one without a rate limit.
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -350,6 +350,22 @@
         self.assertLessEqual(len(self.runs), most)
         self.assertEqual(bool(self.runs), bool(most))
 
+    @async_test
+    async def test_slot_of_a_target_that_became_cold(self):
+        """Guards against requests past slow start that take over the slot of a cold target."""
+        names = [f"n{index}" for index in range(15)]
+        self.start(Behaviour(slots=1), nodes=names, name="other")
+        route = make_route(latency=0.2)
+        sending = [asyncio.create_task(self.send(route)) for _ in range(3)]
+        while not self.runs or len(self.forwarder._chooser._queues["s"]) < 2:
+            await asyncio.sleep(0.001)
+        # A probe for another request finds the target cold.
+        observations = self.forwarder.access.observations_by_id("t0")
+        observations.on_cold(time.monotonic(), 60.0)
+        replies = await asyncio.gather(*sending)
+        self.assertEqual(sorted(reply.status for reply in replies), [200, 503, 503])
+        self.assertEqual(len(self.runs), 1)
+
     @async_test
     async def test_probes_of_cold_targets(self):
         """Guards against probes of cold targets that this node may not use (cold_return)."""
