--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from orioleloft_core import membership, placement
+from orioleloft_core import membership, nodecapacity, placement
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.entrysettings import EntrySettings
@@ -16,6 +16,7 @@
 from orioleloft_core.looplag import LoopLagMonitor
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.messages import (
+    CapacityReport,
     ContentionReport,
     Datagram,
     NodeState,
@@ -29,7 +30,8 @@
 from orioleloft_core.routes import DEFAULT_LIMITS, CallerLimits, Route, RouteTable, TrafficSplitter
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloft_core.stopping import GracefulShutdown
-from orioleloft_core.updates import StateUpdate
+from orioleloftd.bootstrap import Bootstrap
+from orioleloftd.capacityexchange import CapacityExchange
 from orioleloftd.connections import HttpClient
 from orioleloftd.controlserver import ControlResponse, ControlServer
 from orioleloftd.crasharchive import CrashArchive
@@ -44,7 +46,8 @@
 from orioleloftd.requestcontext import CallerReply, CallerRequest
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
 from orioleloftd.shutdown import ShutdownSequence
-from orioleloftd.storesync import Store, StoreError, StoreSync
+from orioleloftd.startupgate import StartupGate
+from orioleloftd.storesync import Store, StoreSync
 from orioleloftd.wire import WireFormat
 
 # Budgets of the fleet (retries, probes) are divided by the number of registered nodes, reachable or
@@ -76,18 +79,6 @@
 # Fraction of the memory that request and response bodies may take. Joining the chunks of a body
 # holds it twice for a moment, and an idle node takes a sixth of the smallest VM.
 BODY_MEMORY_FRACTION = 0.25
-# When the whole fleet starts for the first time, a node waits for this delay plus a random part of
-# the jitter before it reads the store itself, in seconds. All nodes start within 0.3 s, so by then
-# they exchange pings and the watchers have read the store for all.
-FIRST_START_DELAY_S = 2.5
-FIRST_START_JITTER_S = 1.0
-# Time for which a restarted node waits for its seeds before it reads the store, in seconds; a
-# running seed answers within 20 ms.
-SEED_TIMEOUT_S = 0.1
-# Time after which a node that got the state from a peer has received pings from enough nodes to
-# decide whether it is a watcher, in seconds.
-MEMBERSHIP_DISCOVERY_S = 2.0
-READY_POLL_PERIOD_S = 0.02
 # Bounds of the random `Retry-After` of a caller that is refused because this node stops, in
 # seconds.
 STOPPING_RETRY_AFTER_MIN_S = 0.05
@@ -132,6 +123,9 @@
         self._probe_rate_versions: tuple[object, ...] = ()
         self._cached_probe_rate = 0.0
         self._state = SharedState(self._on_state_change)
+        self._startup_gate = StartupGate(
+            lambda: self._state.is_complete, node_clock, not settings.is_fleet_bootstrap
+        )
         self._logged_limits: dict[str, dict[int, int]] = {}
         self._applied_table: RouteTable | None = None
         self._traffic_splitter = TrafficSplitter(self._rng)
@@ -161,6 +155,16 @@
             clock=node_clock,
             rng=self._rng,
         )
+        self._capacity = nodecapacity.node_capacity(
+            settings.cpu_cores, settings.link_mbps, settings.memory_bytes
+        )
+        self._capacity_exchange = CapacityExchange(
+            self._capacity,
+            self._fleet,
+            self._transport,
+            node_clock,
+            self._rng,
+        )
         self._store_sync = StoreSync(
             store, self._state, self._is_watcher, self._on_store_access, node_clock, self._rng
         )
@@ -175,6 +179,20 @@
         self._shutdown_sequence = ShutdownSequence(
             self._shutdown, self._caller_server, self._peer_protocol.announce, node_clock
         )
+        self._bootstrap = Bootstrap(
+            settings=settings,
+            state=self._state,
+            gate=self._startup_gate,
+            is_ready=lambda: self.is_ready,
+            peers=self._peer_protocol,
+            store=store,
+            store_sync=self._store_sync,
+            crash_archive=self._crash_archive,
+            registrar=self._registrar,
+            spawn=self._spawn,
+            clock=node_clock,
+            rng=self._rng,
+        )
 
     def _initial_state(self) -> NodeState:
         settings = self._settings
@@ -268,9 +286,13 @@
             server = ControlServer(self._serve_metrics)
             server.listen(settings.metrics_endpoint.host, settings.metrics_endpoint.port)
         log_event(
-            _log, "started", incarnation=self._fleet.own_state.incarnation, zone=settings.zone
+            _log,
+            "started",
+            incarnation=self._fleet.own_state.incarnation,
+            zone=settings.zone,
+            capacity=self._capacity,
         )
-        self._spawn(self._bootstrap())
+        self._spawn(self._bootstrap.run())
         self._spawn(self._run_periodically(membership.PING_PERIOD_S, self._tick))
         self._spawn(self._sample_lag())
         self._spawn(self._run_periodically(SWEEP_PERIOD_S, self._forwarder.sweep))
@@ -306,55 +328,6 @@
                 log_event(_log, "busy" if monitor.is_busy else "busy no more")
                 self._peer_protocol.update(is_busy=monitor.is_busy)
 
-    async def _bootstrap(self) -> None:
-        """Bootstraps the node: gets the shared state, joins the store watch, registers the node."""
-        self._peer_protocol.fetch_from_seeds(
-            self._settings.seeds, not self._settings.is_fleet_bootstrap
-        )
-        wait = SEED_TIMEOUT_S
-        if self._settings.is_fleet_bootstrap:
-            wait = FIRST_START_DELAY_S + self._rng.random() * FIRST_START_JITTER_S
-        await self._wait_until_ready(wait)
-        if not self.is_ready:
-            await self._read_initial_state()
-        self._store_sync.start()
-        if self.is_ready:
-            # Other nodes are running. Whether this node is a watcher is known once their pings
-            # arrive.
-            await asyncio.sleep(MEMBERSHIP_DISCOVERY_S)
-        # From here on this node may be selected as a watcher.
-        self._peer_protocol.update(store=StoreAccess.READY)
-        self._spawn(self._crash_archive.run())
-        await self._registrar.run()
-
-    async def _read_initial_state(self) -> None:
-        """Reads the shared state from the store because no peer has supplied it.
-
-        Every node does so after a loss of all power. A stale read costs a tenth of a call, and
-        the watchers disseminate newer versions.
-        """
-        try:
-            # The blocks come first, as with the rest this node begins to serve.
-            _, (table, _), targets, closed = await asyncio.gather(
-                self._crash_archive.load(),
-                self._store.read_table(allow_stale=True),
-                self._store.read_targets(allow_stale=True),
-                self._store.read_closed_zones(allow_stale=True),
-            )
-        except StoreError as error:
-            log_event(_log, "state not read", logging.WARNING, reason=str(error))
-            return
-        except Exception:
-            # The bootstrap goes on to the watch, which reads the store again.
-            _log.exception("initial read failed unexpectedly")
-            return
-        self._state.apply_initial(StateUpdate(table, targets, closed))
-
-    async def _wait_until_ready(self, seconds: float) -> None:
-        end = node_clock() + seconds
-        while not self.is_ready and node_clock() < end:
-            await asyncio.sleep(READY_POLL_PERIOD_S)
-
     def stop(self) -> None:
         """Starts a graceful shutdown; further calls have no effect."""
         if not self._shutdown.begin(node_clock()):
@@ -394,6 +367,7 @@
             log_event(_log, "ready", table=table.version)
         self._peer_protocol.on_state_change(origin, before.state_versions)
         self._peer_protocol.update(is_ready=self.is_ready)
+        self._startup_gate.on_state_change()
 
     def _on_store_access(self, access: StoreAccess) -> None:
         """Announces whether this node can reach the store."""
@@ -403,12 +377,15 @@
 
     def _tick(self) -> None:
         self._peer_protocol.tick()
+        self._capacity_exchange.tick()
         # Each waiting resource loop ranks the watcher candidates again, so only watchers are woken.
         if self._is_watcher():
             self._spawn(self._store_sync.wake_waiting_tasks())
 
     def _on_datagram(self, datagram: Datagram) -> None:
         self._peer_protocol.on_datagram(datagram)
+        if isinstance(datagram, CapacityReport):
+            self._capacity_exchange.on_report(datagram)
 
     def on_target_report(self, now: float, report: TargetReport) -> None:
         """Adds another node's report to the observations of the target, for outlier detection."""
@@ -503,9 +480,15 @@
         return self._shutdown.has_begun
 
     def is_idempotent(self, request: CallerRequest) -> bool:
-        """Whether a request may be executed more than once; true if no route matches it."""
+        """Whether a request may be executed more than once; true if no route matches it.
+
+        Before a route table is known, no request is known to be idempotent. It may wait for the
+        table, so those behind it on its connection must not run ahead of it.
+        """
         table = self._state.table
-        route = table.route(request.host, request.path) if table else None
+        if table is None:
+            return False
+        route = table.route(request.host, request.path)
         return route is None or route.is_idempotent
 
     def reserve_memory(self, size: int) -> bool:
@@ -518,6 +501,8 @@
 
     async def serve(self, request: CallerRequest) -> CallerReply:
         """Routes and forwards a request, records its metrics and logs the result."""
+        if not self._state.is_complete and not self._shutdown.has_begun:
+            await self._startup_gate.wait_until_complete(_caller_deadline(request))
         table = self._state.table
         if not self._state.is_complete:
             reply = self._error_reply(request, ErrorCode.NODE_STARTING, "no configuration is known")
@@ -585,6 +570,13 @@
         )
 
 
+def _caller_deadline(request: CallerRequest) -> float:
+    """Returns when the caller gives up, in seconds on the node's clock."""
+    if request.caller_timeout is None:
+        return math.inf
+    return request.arrived_at + request.caller_timeout
+
+
 def _time_limit(request: CallerRequest, route: Route | None) -> float:
     """Returns the longest time that a request may still take, in seconds."""
     if route is None:
