Split the handling of requests out of the entry node

Change: RequestHandler (node/requesthandler.py) has EntryNode.serve and what belongs to it. Behaviour is unchanged; two tests reach for the moved method, the constant and the logger under their new names.

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -11,7 +11,6 @@
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.entrysettings import EntrySettings
-from orioleloft_core.errors import ErrorCode
 from orioleloft_core.fleet import Fleet
 from orioleloft_core.looplag import LoopLagMonitor
 from orioleloft_core.memory import MemoryAccount
@@ -26,7 +25,7 @@
 )
 from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.retrybudget import RetryBudget
-from orioleloft_core.routes import DEFAULT_LIMITS, CallerLimits, Route, RouteTable, TrafficSplitter
+from orioleloft_core.routes import DEFAULT_LIMITS, CallerLimits, RouteTable, TrafficSplitter
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloft_core.stopping import GracefulShutdown
 from orioleloft_core.updates import StateUpdate
@@ -42,6 +41,7 @@
 from orioleloftd.peering import CRASHES_PATH, STATE_PATH, DatagramEndpoint, StateExchange
 from orioleloftd.peerprotocol import PeerProtocol
 from orioleloftd.requestcontext import CallerReply, CallerRequest
+from orioleloftd.requesthandler import RequestHandler
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
 from orioleloftd.shutdown import ShutdownSequence
 from orioleloftd.storesync import Store, StoreError, StoreSync
@@ -88,10 +88,6 @@
 # decide whether it is a watcher, in seconds.
 MEMBERSHIP_DISCOVERY_S = 2.0
 READY_POLL_PERIOD_S = 0.02
-# Bounds of the random `Retry-After` of a caller that is refused because this node stops, in
-# seconds.
-STOPPING_RETRY_AFTER_MIN_S = 0.05
-STOPPING_RETRY_AFTER_MAX_S = 0.2
 
 _log = logging.getLogger(__name__)
 
@@ -175,6 +171,16 @@
         self._shutdown_sequence = ShutdownSequence(
             self._shutdown, self._caller_server, self._peer_protocol.announce, node_clock
         )
+        self._request_handler = RequestHandler(
+            state=self._state,
+            forwarder=self._forwarder,
+            traffic_splitter=self._traffic_splitter,
+            shutdown=self._shutdown,
+            shutdown_sequence=self._shutdown_sequence,
+            metrics=self._metrics,
+            clock=node_clock,
+            rng=self._rng,
+        )
 
     def _initial_state(self) -> NodeState:
         settings = self._settings
@@ -515,79 +521,5 @@
         self._memory.release(size)
 
     async def serve(self, request: CallerRequest) -> CallerReply:
-        """Routes and forwards a request, records its metrics and logs the result."""
-        table = self._state.table
-        if not self._state.is_complete:
-            reply = self._error_reply(request, ErrorCode.NODE_STARTING, "no configuration is known")
-            self._record_reply(request, "", reply)
-            return reply
-        route = table.route(request.host, request.path)
-        try:
-            if self._shutdown.accepts(node_clock(), _time_limit(request, route)):
-                reply = await self._forward_until_exit(request, route)
-            else:
-                reply = self._refuse_while_stopping(request)
-        except Exception:
-            # Without an answer the connection would be closed, with all other requests on it.
-            _log.exception("request failed")
-            text = "an unexpected error, which the log of this node has"
-            reply = self._error_reply(request, ErrorCode.INTERNAL_ERROR, text)
-        self._record_reply(request, route.name if route else "", reply)
-        return reply
-
-    def _refuse_while_stopping(self, request: CallerRequest) -> CallerReply:
-        """Refuses a request that might not end before this node exits.
-
-        The other nodes can take it, so the caller need not wait.
-        """
-        return self._forwarder.error_reply(
-            request.id,
-            ErrorCode.NODE_STOPPING,
-            "the node stops before the request must end",
-            self._rng.uniform(STOPPING_RETRY_AFTER_MIN_S, STOPPING_RETRY_AFTER_MAX_S),
-        )
-
-    async def _forward_until_exit(self, request: CallerRequest, route: Route | None) -> CallerReply:
-        """Forwards a request; if the process exits before it has ended, its outcome is unknown."""
-        reply = await self._shutdown_sequence.until_exit(self._forward_to_route(request, route))
-        if reply is not None:
-            return reply
-        text = "the node stops before the target has answered"
-        return self._error_reply(request, ErrorCode.DEADLINE_AFTER_START, text)
-
-    async def _forward_to_route(self, request: CallerRequest, route: Route | None) -> CallerReply:
-        if route is None:
-            text = f"no route in version {self._state.table.version}"
-            return self._error_reply(request, ErrorCode.UNKNOWN_ROUTE, text)
-        return await self._forwarder.forward(
-            request, route, self._traffic_splitter.next_service(route)
-        )
-
-    def _error_reply(self, request: CallerRequest, code: ErrorCode, text: str) -> CallerReply:
-        return self._forwarder.error_reply(request.id, code, text)
-
-    def _record_reply(self, request: CallerRequest, route: str, reply: CallerReply) -> None:
-        seconds = node_clock() - request.arrived_at
-        self._metrics.observe(route, reply.status, seconds)
-        log_event(
-            _log,
-            "request answered",
-            request=request.id,
-            route=route,
-            status=reply.status,
-            ms=round(seconds * 1000),
-            patience_ms=round(request.caller_timeout * 1000) if request.caller_timeout else None,
-            code=reply.code.value if reply.code else None,
-            reason=reply.message or None,
-            retry_after=round(reply.retry_after, 2) if reply.retry_after else None,
-        )
-
-
-def _time_limit(request: CallerRequest, route: Route | None) -> float:
-    """Returns the longest time that a request may still take, in seconds."""
-    if route is None:
-        return 0.0
-    timeout = route.timeout
-    if request.caller_timeout is not None:
-        timeout = min(timeout, request.caller_timeout)
-    return max(0.0, request.arrived_at + timeout - node_clock())
+        """Answers a request; see `RequestHandler.serve`."""
+        return await self._request_handler.serve(request)
--- /dev/null
+++ b/packages/node/orioleloftd/requesthandler.py
@@ -0,0 +1,135 @@
+"""Answers callers' requests: routes them, forwards or refuses them, and records the result."""
+
+import logging
+import random
+from collections.abc import Callable
+
+from orioleloft_core.errors import ErrorCode
+from orioleloft_core.routes import Route, TrafficSplitter
+from orioleloft_core.stopping import GracefulShutdown
+from orioleloftd.exposition import NodeMetrics
+from orioleloftd.forwarding import Forwarder
+from orioleloftd.logs import log_event
+from orioleloftd.requestcontext import CallerReply, CallerRequest
+from orioleloftd.sharedstate import SharedState
+from orioleloftd.shutdown import ShutdownSequence
+
+# Bounds of the random `Retry-After` of a caller that is refused because this node stops, in
+# seconds.
+STOPPING_RETRY_AFTER_MIN_S = 0.05
+STOPPING_RETRY_AFTER_MAX_S = 0.2
+
+_log = logging.getLogger(__name__)
+
+
+class RequestHandler:
+    """Answers the requests of callers.
+
+    Args:
+        state: the configuration and targets in force.
+        forwarder: forwards requests to targets.
+        traffic_splitter: selects the service of a request.
+        shutdown: tells whether a request can still end before this node exits.
+        shutdown_sequence: ends the requests that are in flight at the exit.
+        metrics: receives status and latency of each reply.
+        clock: seconds on the node's clock.
+        rng: source of the times at which refused callers return.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: SharedState,
+        forwarder: Forwarder,
+        traffic_splitter: TrafficSplitter,
+        shutdown: GracefulShutdown,
+        shutdown_sequence: ShutdownSequence,
+        metrics: NodeMetrics,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._state = state
+        self._forwarder = forwarder
+        self._traffic_splitter = traffic_splitter
+        self._shutdown = shutdown
+        self._shutdown_sequence = shutdown_sequence
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+
+    async def serve(self, request: CallerRequest) -> CallerReply:
+        """Routes and forwards a request, records its metrics and logs the result."""
+        table = self._state.table
+        if not self._state.is_complete:
+            reply = self._error_reply(request, ErrorCode.NODE_STARTING, "no configuration is known")
+            self._record_reply(request, "", reply)
+            return reply
+        route = table.route(request.host, request.path)
+        try:
+            if self._shutdown.accepts(self._clock(), self._time_limit(request, route)):
+                reply = await self._forward_until_exit(request, route)
+            else:
+                reply = self._refuse_while_stopping(request)
+        except Exception:
+            # Without an answer the connection would be closed, with all other requests on it.
+            _log.exception("request failed")
+            text = "an unexpected error, which the log of this node has"
+            reply = self._error_reply(request, ErrorCode.INTERNAL_ERROR, text)
+        self._record_reply(request, route.name if route else "", reply)
+        return reply
+
+    def _time_limit(self, request: CallerRequest, route: Route | None) -> float:
+        """Returns the longest time that a request may still take, in seconds."""
+        if route is None:
+            return 0.0
+        timeout = route.timeout
+        if request.caller_timeout is not None:
+            timeout = min(timeout, request.caller_timeout)
+        return max(0.0, request.arrived_at + timeout - self._clock())
+
+    def _refuse_while_stopping(self, request: CallerRequest) -> CallerReply:
+        """Refuses a request that might not end before this node exits.
+
+        The other nodes can take it, so the caller need not wait.
+        """
+        return self._forwarder.error_reply(
+            request.id,
+            ErrorCode.NODE_STOPPING,
+            "the node stops before the request must end",
+            self._rng.uniform(STOPPING_RETRY_AFTER_MIN_S, STOPPING_RETRY_AFTER_MAX_S),
+        )
+
+    async def _forward_until_exit(self, request: CallerRequest, route: Route | None) -> CallerReply:
+        """Forwards a request; if the process exits before it has ended, its outcome is unknown."""
+        reply = await self._shutdown_sequence.until_exit(self._forward_to_route(request, route))
+        if reply is not None:
+            return reply
+        text = "the node stops before the target has answered"
+        return self._error_reply(request, ErrorCode.DEADLINE_AFTER_START, text)
+
+    async def _forward_to_route(self, request: CallerRequest, route: Route | None) -> CallerReply:
+        if route is None:
+            text = f"no route in version {self._state.table.version}"
+            return self._error_reply(request, ErrorCode.UNKNOWN_ROUTE, text)
+        return await self._forwarder.forward(
+            request, route, self._traffic_splitter.next_service(route)
+        )
+
+    def _error_reply(self, request: CallerRequest, code: ErrorCode, text: str) -> CallerReply:
+        return self._forwarder.error_reply(request.id, code, text)
+
+    def _record_reply(self, request: CallerRequest, route: str, reply: CallerReply) -> None:
+        seconds = self._clock() - request.arrived_at
+        self._metrics.observe(route, reply.status, seconds)
+        log_event(
+            _log,
+            "request answered",
+            request=request.id,
+            route=route,
+            status=reply.status,
+            ms=round(seconds * 1000),
+            patience_ms=round(request.caller_timeout * 1000) if request.caller_timeout else None,
+            code=reply.code.value if reply.code else None,
+            reason=reply.message or None,
+            retry_after=round(reply.retry_after, 2) if reply.retry_after else None,
+        )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -22,9 +22,10 @@
     WeightedService,
 )
 from orioleloft_core.updates import StateUpdate
-from orioleloftd.entry import STOPPING_RETRY_AFTER_MAX_S, EntryNode, node_clock
+from orioleloftd.entry import EntryNode, node_clock
 from orioleloftd.peering import StateTransfer
 from orioleloftd.requestcontext import CallerRequest
+from orioleloftd.requesthandler import STOPPING_RETRY_AFTER_MAX_S
 from orioleloftd.storesync import StoreError
 from standins.processes import free_ports
 from tests.support.loop import async_test
@@ -181,11 +182,11 @@
         node = self.start(InMemoryStore())
         await node.start()
         await self.wait_until_ready(node)
-        node._forward_to_route = mock.AsyncMock(side_effect=RuntimeError("defect"))
+        node._request_handler._forward_to_route = mock.AsyncMock(side_effect=RuntimeError("defect"))
         request = CallerRequest(
             "r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), 1.0
         )
-        with self.assertLogs("orioleloftd.entry", "ERROR") as logged:
+        with self.assertLogs("orioleloftd.requesthandler", "ERROR") as logged:
             reply = await node.serve(request)
         self.assertEqual((reply.code, reply.status), (ErrorCode.INTERNAL_ERROR, 502))
         self.assertIn("defect", logged.output[0])
@@ -217,7 +218,7 @@
         await node.start()
         await self.wait_until_ready(node)
         never = asyncio.Event()
-        node._forward_to_route = lambda request, route: never.wait()
+        node._request_handler._forward_to_route = lambda request, route: never.wait()
         request = CallerRequest(
             "r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), None
         )
