--- a/packages/core/orioleloft_core/note.py
+++ b/packages/core/orioleloft_core/note.py
@@ -289,6 +289,7 @@
         tuple(routes.values()),
         tuple(services.values()),
         limits,
+        table.tenants if table else (),
     )
     _check_consistency(new)
     return new
