Requests need a key of a tenant; targets are told the tenant

Cause: tenants of the configuration had no effect. Any caller reached any route, and could state any tenant to a target.

Change: where the configuration has tenants, a request on a route that is not public needs a key of one of them, else it gets 401 with `WWW-Authenticate`. It is judged at its arrival and again before each attempt, against the table in force then (core/tenants.py), so that a key that was removed while the request was queued, or before a retry or hedge, is refused, and a key that moved names its new tenant. What may have run keeps the answer of its attempt. A denied request with a body over 64 KiB, of unknown length or behind `Expect` is refused at its head, which closes the connection; a shorter body is read and the connection stays. `Authorization` and `X-Tenant` in any spelling do not reach targets; a tenant's name does. Keys and digests are left out of `repr`. The log line `request answered` names the tenant, refusals are counted by code. A tenant's priority precedes that of the route. Without tenants, both headers are forwarded as before.

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -512,6 +512,10 @@
         route = table.route(request.host, request.path) if table else None
         return route is None or route.is_idempotent
 
+    def is_denied(self, host: str, path: str, key_digest: str | None) -> bool:
+        """Whether a request would be refused because it has no API key of a tenant."""
+        return self._request_handler.is_denied(host, path, key_digest)
+
     def reserve_memory(self, size: int) -> bool:
         """Reserves memory for a chunk of a body; returns False if the limit would be exceeded."""
         return self._memory.reserve(size)
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from orioleloft_core import attempts
+from orioleloft_core import attempts, tenants
 from orioleloft_core.attempts import AttemptEnd, AttemptResult, Fail, Retry, ReturnResponse
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.callerretries import CallerRetryDetector
@@ -22,6 +22,14 @@
 from orioleloft_core.selection import ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
+from orioleloft_core.tenants import (
+    UNRESTRICTED,
+    Authorization,
+    Authorized,
+    Denied,
+    Public,
+    Unrestricted,
+)
 from orioleloftd.attemptrecorder import AttemptRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
 from orioleloftd.logs import log_event
@@ -35,7 +43,7 @@
 )
 from orioleloftd.targetaccess import TargetAccess, result_or_none
 from orioleloftd.targetchooser import TargetChooser
-from orioleloftd.wire import WireFormat
+from orioleloftd.wire import NamedTenant, NoTenant, TenantHeader, UnchangedTenant, WireFormat
 
 # Delay before a hedge, as a multiple of the expected response time of the target.
 HEDGE_DELAY_FACTOR = 1.6
@@ -168,11 +176,24 @@
         self._chooser.sweep(table.services if table else ())
         self._contention.retain_only(self._registry.services)
 
-    async def forward(self, request: CallerRequest, route: Route, service_name: str) -> CallerReply:
+    async def forward(
+        self,
+        request: CallerRequest,
+        route: Route,
+        service_name: str,
+        authorization: Authorization = UNRESTRICTED,
+    ) -> CallerReply:
         """Forwards a request and returns a target's response or an error reply.
 
         Cancelling the coroutine closes the connections of all attempts, on which the targets stop
         their work on the request.
+
+        Args:
+            request: the request.
+            route: its route.
+            service_name: service that the traffic split has selected.
+            authorization: judgement of the request at its arrival. It is judged again before each
+                attempt, as a new version of the configuration may move or remove its key.
         """
         now = self._clock()
         timeout = route.timeout
@@ -186,7 +207,12 @@
             return self._error(request, ErrorCode.CRASH_SUSPECT, "the request has crashed targets")
         is_caller_retry = self._caller_retries.is_caller_retry(now, route.name, timeout)
         context = RequestContext(
-            request, route, service, request.arrived_at + timeout, is_caller_retry
+            request,
+            route,
+            service,
+            request.arrived_at + timeout,
+            is_caller_retry,
+            authorization=authorization,
         )
         try:
             async with asyncio.timeout(max(0.0, context.deadline - now)):
@@ -194,6 +220,8 @@
         except TimeoutError:
             if context.attempt_count:
                 return self._error(request, ErrorCode.DEADLINE_AFTER_START, "no answer in time")
+            if not self._is_authorized(context):
+                return self.unknown_key_reply(request)
             return self._error(request, ErrorCode.NO_CAPACITY, "no target was free in time")
 
     async def _run_attempts(self, context: RequestContext) -> CallerReply:
@@ -251,11 +279,18 @@
     ) -> CallerReply | None:
         """Starts the first attempt or a retry; returns an error reply if it cannot."""
         request, service = context.request, context.service.name
+        if not self._is_authorized(context):
+            return self._deny(context)
         if context.attempt_count >= context.route.attempts:
             return self._error(request, ErrorCode.TARGET_UNREACHABLE, "no attempts are left")
         if context.attempt_count and self._budget.available(self._clock(), service) < 1:
             return self._error(request, ErrorCode.NO_CAPACITY, "the retry budget is exhausted")
         selected = await self._chooser.acquire_target(context)
+        if not self._is_authorized(context):
+            # The key was removed while the request was queued.
+            if isinstance(selected, SelectedTarget):
+                self._chooser.release_unused(selected)
+            return self._deny(context)
         if isinstance(selected, Rejection):
             return self.error_reply(
                 request.id, selected.code, selected.reason, selected.retry_after
@@ -273,6 +308,31 @@
         )
         return None
 
+    def _is_authorized(self, context: RequestContext) -> bool:
+        """Judges a request by the configuration in force; returns whether it may be dispatched."""
+        request, table = context.request, self._table()
+        route = table.route(request.host, request.path) or context.route
+        context.authorization = tenants.authorize(table, route, request.key_digest)
+        return not isinstance(context.authorization, Denied)
+
+    def _deny(self, context: RequestContext) -> CallerReply:
+        """Returns the reply to a request whose key is unknown by now.
+
+        A fallback stays in force if an attempt may have been executed.
+        """
+        fallback = context.fallback_reply
+        if (
+            fallback is not None
+            and fallback.code is not None
+            and ERROR_RESPONSES[fallback.code].outcome is ExecutionOutcome.NOT_RUN
+        ):
+            context.fallback_reply = None
+        return self.unknown_key_reply(context.request)
+
+    def unknown_key_reply(self, request: CallerRequest) -> CallerReply:
+        """Builds the reply to a request that has no key of a tenant."""
+        return self._error(request, ErrorCode.UNKNOWN_KEY, "the request has no known API key")
+
     def _is_hedge_allowed(self, context: RequestContext) -> bool:
         """Whether attempts, queue and budget allow a hedge beside the running attempt."""
         service = context.service.name
@@ -291,6 +351,9 @@
         """Starts a hedge; returns False if there is no target or the budget is exhausted."""
         if selected is None:
             return False
+        if not self._is_authorized(context):
+            self._chooser.release_unused(selected)
+            return False
         if not self._crashes.start_run(
             self._clock(), context.request.fingerprints
         ) or not self._budget.take(self._clock(), context.service.name, RETRY_RESERVED_TOKENS):
@@ -397,7 +460,9 @@
         status = ERROR_RESPONSES[code].status
         if retry_after is None and status in (429, 503):
             retry_after = self._rng.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
-        headers = self._wire.local_reply_headers(request_id, retry_after)
+        headers = self._wire.local_reply_headers(
+            request_id, retry_after, code is ErrorCode.UNKNOWN_KEY
+        )
         return CallerReply(status, headers, b"", code, message, retry_after)
 
     # One attempt.
@@ -448,7 +513,11 @@
         )
         observations = self._access.observations(target)
         headers = self._wire.target_headers(
-            request.headers, target.id, context.deadline - started_at, request.body
+            request.headers,
+            target.id,
+            context.deadline - started_at,
+            request.body,
+            _tenant_header(context.authorization),
         )
         observations.in_flight += 1
         self._rate_limit_recorder.on_sent(target, "attempt")
@@ -548,3 +617,13 @@
     def _table_version(self) -> int:
         table = self._table()
         return table.version if table else 0
+
+
+def _tenant_header(authorization: Authorization) -> TenantHeader:
+    match authorization:
+        case Unrestricted():
+            return UnchangedTenant()
+        case Authorized(tenant=tenant):
+            return NamedTenant(tenant.name)
+        case Public() | Denied():
+            return NoTenant()
--- a/packages/node/orioleloftd/frontend.py
+++ b/packages/node/orioleloftd/frontend.py
@@ -17,10 +17,13 @@
     check_framing,
     connection_options,
 )
-from orioleloftd.wire import WireFormat
+from orioleloftd.wire import RequestMetadata, WireFormat
 
 # Receive buffer of a connection, in bytes.
 MAX_BUFFER_BYTES = 100 * 1024 * 1024
+# Longest body, in bytes, that is read before a request with an unknown key is answered. The answer
+# to a request with a longer one, or one of unknown length, closes the connection.
+MAX_DENIED_BODY_BYTES = 64 * 1024
 
 _log = logging.getLogger(__name__)
 
@@ -99,6 +102,7 @@
         self._arrived_at = 0.0
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
+        self._metadata: RequestMetadata | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._stream.on_first_byte = self._on_first_byte
         pipeline.on_waiting_for_request()
@@ -131,8 +135,19 @@
         refusal = check_framing(start_line, headers, limit)
         if refusal is not None:
             self._refuse(refusal)
+        self._metadata = self._wire.parse_request(headers)
+        if _has_costly_body(headers) and self._is_denied():
+            reply_headers = self._wire.local_reply_headers(
+                self._metadata.request_id, None, needs_key=True
+            )
+            message = "the request has no known API key"
+            self._refuse(Refusal(ErrorCode.UNKNOWN_KEY, message, tuple(reply_headers.get_all())))
         self._set_timer(self._gateway.limits().idle_timeout)
 
+    def _is_denied(self) -> bool:
+        host, path = self._headers.get("Host", ""), self._start_line.path
+        return self._gateway.is_denied(host, path, self._metadata.key_digest)
+
     def data_received(self, chunk: bytes) -> None:
         self._stop_timer()
         self._set_timer(self._gateway.limits().idle_timeout)
@@ -146,7 +161,13 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         self._stop_timer()
-        log_event(_log, "request refused", reason=refusal.message, code=refusal.code.value)
+        log_event(
+            _log,
+            "request refused",
+            request=self._metadata.request_id if self._metadata else None,
+            reason=refusal.message,
+            code=refusal.code.value,
+        )
         self._stream.refusal = refusal
         raise httputil.HTTPInputError(refusal.message)
 
@@ -159,7 +180,7 @@
     def finish(self) -> None:
         """Passes the complete request to the pipeline; called by tornado."""
         self._stop_timer()
-        metadata = self._wire.parse_request(self._headers)
+        metadata = self._metadata
         request = CallerRequest(
             id=metadata.request_id,
             method=self._start_line.method,
@@ -170,6 +191,7 @@
             arrived_at=self._arrived_at,
             caller_timeout=metadata.caller_timeout,
             caller_host=self._connection.context.remote_ip,
+            key_digest=metadata.key_digest,
         )
         is_http_10 = self._start_line.version == "HTTP/1.0"
         is_close_requested = is_http_10 or "close" in connection_options(self._headers)
@@ -177,3 +199,10 @@
         self._pipeline.add(
             PendingRequest(request, self._connection, reserved_bytes, is_close_requested)
         )
+
+
+def _has_costly_body(headers: httputil.HTTPHeaders) -> bool:
+    """Whether a request has a body that is not worth reading only to keep the connection."""
+    if "Transfer-Encoding" in headers or "Expect" in headers:
+        return True
+    return int(headers.get("Content-Length", "0")) > MAX_DENIED_BODY_BYTES
--- a/packages/node/orioleloftd/gateway.py
+++ b/packages/node/orioleloftd/gateway.py
@@ -21,6 +21,15 @@
     def is_idempotent(self, request: CallerRequest) -> bool:
         """Whether a request may be executed more than once; true also if no route matches."""
 
+    def is_denied(self, host: str, path: str, key_digest: str | None) -> bool:
+        """Whether a request would be refused because it has no API key of a tenant.
+
+        Args:
+            host: value of the `Host` header.
+            path: path and query.
+            key_digest: digest of the key in the request, or None.
+        """
+
     def reserve_memory(self, size: int) -> bool:
         """Reserves bytes for a part of a body; returns False if the limit would be exceeded."""
 
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -5,13 +5,14 @@
 
 from tornado import httputil
 
-from orioleloft_core import hashing
+from orioleloft_core import hashing, tenants
 from orioleloft_core.admissionqueue import Rank
 from orioleloft_core.crashes import RequestFingerprints
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.memory import ResponseReservation
-from orioleloft_core.routes import Route, RoutedService
+from orioleloft_core.routes import Route, RoutedService, Tenant
 from orioleloft_core.selection import ProbedTarget
+from orioleloft_core.tenants import UNRESTRICTED, Authorization
 from orioleloftd.connections import Connection
 
 
@@ -29,21 +30,28 @@
         arrived_at: time of the first byte, in seconds on the node's clock.
         caller_timeout: timeout that the caller states, in seconds, or None.
         caller_host: IP address of the caller; callers behind one address count as one.
+        key_digest: digest of the API key, or None if there is no usable key.
     """
 
     id: str
     method: str
     host: str
     path: str
-    headers: httputil.HTTPHeaders
+    # The headers contain the key.
+    headers: httputil.HTTPHeaders = dataclasses.field(repr=False)
     body: bytes
     arrived_at: float
     caller_timeout: float | None
     caller_host: str = ""
+    key_digest: str | None = dataclasses.field(default=None, repr=False)
 
     @functools.cached_property
     def fingerprints(self) -> RequestFingerprints:
-        """Hashes by which the request is known when it comes again."""
+        """Hashes by which the request is known when it comes again.
+
+        They leave out the tenant: a key may move to another tenant between two attempts, and a
+        caller with several keys must not crash more targets than one with a single key.
+        """
         head = f"{self.method} {self.host} {self.path}".encode()
         content = hashing.fingerprint(head, self.body)
         return RequestFingerprints(
@@ -90,6 +98,7 @@
         fallback_reply: reply to use if no further attempt can be made.
         probe_count: number of probes sent in the last round.
         candidates: targets that responded in the last round, with their load.
+        authorization: judgement of the request before its last dispatch.
     """
 
     request: CallerRequest
@@ -102,11 +111,20 @@
     fallback_reply: CallerReply | None = None
     probe_count: int = 0
     candidates: tuple[ProbedTarget, ...] = ()
+    authorization: Authorization = UNRESTRICTED
+
+    @property
+    def tenant(self) -> Tenant | None:
+        """Tenant of the request, or None if it has none."""
+        return tenants.tenant_of(self.authorization)
 
     @property
     def rank(self) -> Rank:
         """Priority in the queue for a target."""
-        return Rank(self.route.priority, self.is_caller_retry)
+        priority = self.route.priority
+        if self.tenant is not None and self.tenant.priority is not None:
+            priority = self.tenant.priority
+        return Rank(priority, self.is_caller_retry)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/node/orioleloftd/requesthandler.py
+++ b/packages/node/orioleloftd/requesthandler.py
@@ -4,9 +4,11 @@
 import random
 from collections.abc import Callable
 
+from orioleloft_core import tenants
 from orioleloft_core.errors import ErrorCode
-from orioleloft_core.routes import Route, TrafficSplitter
+from orioleloft_core.routes import Route, Tenant, TrafficSplitter
 from orioleloft_core.stopping import GracefulShutdown
+from orioleloft_core.tenants import UNRESTRICTED, Authorization, Denied
 from orioleloftd.exposition import NodeMetrics
 from orioleloftd.forwarding import Forwarder
 from orioleloftd.logs import log_event
@@ -65,19 +67,35 @@
             self._record_reply(request, "", reply)
             return reply
         route = table.route(request.host, request.path)
+        authorization = (
+            tenants.authorize(table, route, request.key_digest) if route else UNRESTRICTED
+        )
         try:
-            if self._shutdown.accepts(self._clock(), self._time_limit(request, route)):
-                reply = await self._forward_until_exit(request, route)
-            else:
-                reply = self._refuse_while_stopping(request)
+            reply = await self._answer(request, route, authorization)
         except Exception:
             # Without an answer the connection would be closed, with all other requests on it.
             _log.exception("request failed")
             text = "an unexpected error, which the log of this node has"
             reply = self._error_reply(request, ErrorCode.INTERNAL_ERROR, text)
-        self._record_reply(request, route.name if route else "", reply)
+        tenant = tenants.tenant_of(authorization)
+        self._record_reply(request, route.name if route else "", reply, tenant)
         return reply
 
+    def is_denied(self, host: str, path: str, key_digest: str | None) -> bool:
+        """Whether a request would be refused for its key; see `Gateway.is_denied`."""
+        table = self._state.table
+        route = table.route(host, path) if self._state.is_complete else None
+        return route is not None and isinstance(tenants.authorize(table, route, key_digest), Denied)
+
+    async def _answer(
+        self, request: CallerRequest, route: Route | None, authorization: Authorization
+    ) -> CallerReply:
+        if isinstance(authorization, Denied):
+            return self._forwarder.unknown_key_reply(request)
+        if not self._shutdown.accepts(self._clock(), self._time_limit(request, route)):
+            return self._refuse_while_stopping(request)
+        return await self._forward_until_exit(request, route, authorization)
+
     def _time_limit(self, request: CallerRequest, route: Route | None) -> float:
         """Returns the longest time that a request may still take, in seconds."""
         if route is None:
@@ -99,33 +117,49 @@
             self._rng.uniform(STOPPING_RETRY_AFTER_MIN_S, STOPPING_RETRY_AFTER_MAX_S),
         )
 
-    async def _forward_until_exit(self, request: CallerRequest, route: Route | None) -> CallerReply:
+    async def _forward_until_exit(
+        self, request: CallerRequest, route: Route | None, authorization: Authorization
+    ) -> CallerReply:
         """Forwards a request; if the process exits before it has ended, its outcome is unknown."""
-        reply = await self._shutdown_sequence.until_exit(self._forward_to_route(request, route))
+        reply = await self._shutdown_sequence.until_exit(
+            self._forward_to_route(request, route, authorization)
+        )
         if reply is not None:
             return reply
         text = "the node stops before the target has answered"
         return self._error_reply(request, ErrorCode.DEADLINE_AFTER_START, text)
 
-    async def _forward_to_route(self, request: CallerRequest, route: Route | None) -> CallerReply:
+    async def _forward_to_route(
+        self, request: CallerRequest, route: Route | None, authorization: Authorization
+    ) -> CallerReply:
         if route is None:
             text = f"no route in version {self._state.table.version}"
             return self._error_reply(request, ErrorCode.UNKNOWN_ROUTE, text)
-        return await self._forwarder.forward(
-            request, route, self._traffic_splitter.next_service(route)
-        )
+        return await self._forward_authorized(request, route, authorization)
+
+    async def _forward_authorized(
+        self, request: CallerRequest, route: Route, authorization: Authorization
+    ) -> CallerReply:
+        """Forwards a request that is authorised; all of them pass here, and no other request."""
+        service_name = self._traffic_splitter.next_service(route)
+        return await self._forwarder.forward(request, route, service_name, authorization)
 
     def _error_reply(self, request: CallerRequest, code: ErrorCode, text: str) -> CallerReply:
         return self._forwarder.error_reply(request.id, code, text)
 
-    def _record_reply(self, request: CallerRequest, route: str, reply: CallerReply) -> None:
+    def _record_reply(
+        self, request: CallerRequest, route: str, reply: CallerReply, tenant: Tenant | None = None
+    ) -> None:
         seconds = self._clock() - request.arrived_at
         self._metrics.observe(route, reply.status, seconds)
+        if reply.code is not None:
+            self._metrics.count("refusals", code=reply.code.value)
         log_event(
             _log,
             "request answered",
             request=request.id,
             route=route,
+            tenant=tenant.name if tenant else None,
             status=reply.status,
             ms=round(seconds * 1000),
             patience_ms=round(request.caller_timeout * 1000) if request.caller_timeout else None,
--- a/packages/node/orioleloftd/streams.py
+++ b/packages/node/orioleloftd/streams.py
@@ -58,10 +58,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refusal:
-    """Error for a request that is refused while it is read."""
+    """Error for a request that is refused while it is read.
+
+    Attributes:
+        code: code of the error.
+        message: description of the error.
+        headers: names and values of further headers of the response.
+    """
 
     code: ErrorCode
     message: str
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class CallerStream(NoDelayStream):
@@ -248,6 +255,8 @@
             CODE_HEADER: refusal.code.value,
         }
     )
+    for name, value in refusal.headers:
+        headers.add(name, value)
     return encode_response(kind.status, headers, body)
 
 
--- a/packages/node/orioleloftd/wire.py
+++ b/packages/node/orioleloftd/wire.py
@@ -19,10 +19,32 @@
     Attributes:
         request_id: request id, or an empty string.
         caller_timeout: timeout that the caller states, in seconds, or None.
+        key_digest: digest of the API key, or None if there is no usable key.
     """
 
     request_id: str
     caller_timeout: float | None
+    key_digest: str | None = dataclasses.field(default=None, repr=False)
+
+
+@dataclasses.dataclass(frozen=True)
+class UnchangedTenant:
+    """The caller's headers for key and tenant are forwarded, as there are no tenants."""
+
+
+@dataclasses.dataclass(frozen=True)
+class NoTenant:
+    """The request belongs to no tenant; neither header is forwarded."""
+
+
+@dataclasses.dataclass(frozen=True)
+class NamedTenant:
+    """The target is told the tenant; the caller's headers are not forwarded."""
+
+    name: str
+
+
+TenantHeader = UnchangedTenant | NoTenant | NamedTenant
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,7 +81,12 @@
         """Parses the headers of a caller's request."""
 
     def target_headers(
-        self, headers: httputil.HTTPHeaders, target_id: str, seconds_left: float, body: bytes
+        self,
+        headers: httputil.HTTPHeaders,
+        target_id: str,
+        seconds_left: float,
+        body: bytes,
+        tenant: TenantHeader,
     ) -> httputil.HTTPHeaders:
         """Builds the headers of a request to a target.
 
@@ -68,6 +95,7 @@
             target_id: id of the target.
             seconds_left: time to the deadline, in seconds.
             body: body of the request.
+            tenant: what the target is told about the tenant.
         """
 
     def probe_headers(self, host: str) -> httputil.HTTPHeaders:
@@ -80,11 +108,12 @@
         """Returns the headers of a target's response that are relayed to the caller."""
 
     def local_reply_headers(
-        self, request_id: str, retry_after: float | None
+        self, request_id: str, retry_after: float | None, needs_key: bool = False
     ) -> httputil.HTTPHeaders:
         """Builds the headers of an error reply that the node itself generates.
 
         Args:
             request_id: id of the request, or an empty string.
             retry_after: seconds after which the caller may retry, or None.
+            needs_key: whether the reply asks for an API key.
         """
--- a/standins/target.py
+++ b/standins/target.py
@@ -92,6 +92,7 @@
         target: id of the target.
         body: body of the request, decoded as Latin-1.
         at: start on the system's monotonic clock, in seconds.
+        identity: headers for key and tenant that reached the target, in any spelling.
     """
 
     request_id: str
@@ -100,6 +101,7 @@
     target: str
     body: str
     at: float
+    identity: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class TargetEmulator:
@@ -209,7 +211,15 @@
         self.running += 1
         try:
             body = request.body.decode("latin1")
-            run = Run(request_id, request.method, request.uri, self.name, body, time.monotonic())
+            run = Run(
+                request_id,
+                request.method,
+                request.uri,
+                self.name,
+                body,
+                time.monotonic(),
+                _identity_headers(request.headers),
+            )
             self.runs.append(run)
             self._on_run(run)
             if request.path == self.behaviour.crashing_path:
@@ -300,6 +310,13 @@
         return {"metadata": {"name": self.name}, "spec": spec}
 
 
+def _identity_headers(headers: httputil.HTTPHeaders) -> dict[str, str]:
+    names = {wire.AUTHORIZATION.lower(), wire.TENANT.lower()}
+    return {
+        name: value for name, value in headers.items() if name.lower().replace("_", "-") in names
+    }
+
+
 def _encode(status: int, headers: dict[str, str], body: bytes = b"") -> bytes:
     lines = [f"{name}: {value}" for name, value in headers.items()]
     head = "\r\n".join([f"HTTP/1.1 {status} Answer", *lines, f"Content-Length: {len(body)}"])
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -17,6 +17,7 @@
 from orioleloft_core.observations import LoadFigures
 from orioleloft_core.ratelimits import MalformedRateLimit, NoRateLimit, RateLimit
 from orioleloft_core.routes import RouteKind, WeightedService
+from orioleloftd.wire import UnchangedTenant
 
 SETTINGS_FILE = """node=front-1
 zone=za
@@ -339,9 +340,9 @@
                 "Keep-Alive": "timeout=5",
             }
         )
-        forwarded = dict(self.wire_format.target_headers(headers, "i-1", 1.5, b"abc").get_all())
+        forwarded = self.wire_format.target_headers(headers, "i-1", 1.5, b"abc", UnchangedTenant())
         self.assertEqual(
-            forwarded,
+            dict(forwarded.get_all()),
             {
                 "Host": "h.example",
                 "X-Request-Id": "r",
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -218,7 +218,7 @@
         await node.start()
         await self.wait_until_ready(node)
         never = asyncio.Event()
-        node._request_handler._forward_to_route = lambda request, route: never.wait()
+        node._request_handler._forward_to_route = lambda *_: never.wait()
         request = CallerRequest(
             "r1", "GET", "a", "/", httputil.HTTPHeaders(), b"", node_clock(), None
         )
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -29,6 +29,7 @@
         self.cancelled = []
         self.is_stopping = False
         self.finish_gate = None
+        self.needs_key = False
         self.idle_timeout = 0.3
         self.memory = 10_000
         self.reserved = 0
@@ -51,6 +52,9 @@
     def is_idempotent(self, request):
         return request.method == "GET"
 
+    def is_denied(self, host, path, key_digest):
+        return self.needs_key and key_digest is None
+
     def reserve_memory(self, size):
         if self.reserved + size > self.memory:
             return False
