--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -114,6 +114,16 @@
         """Returns the nodes that should be registered; see `Membership.nodes_to_register`."""
         return self._members.nodes_to_register(now, registered)
 
+    def host_of(self, name: str) -> str | None:
+        """Returns the IP address of another node, alive or not, or None if it is not known."""
+        member = self._members.get(name)
+        return None if member is None else member.host
+
+    def is_alive(self, name: str) -> bool:
+        """Whether another node has been heard and is not marked as down."""
+        member = self._members.get(name)
+        return member is not None and member.is_alive
+
     def alive(self) -> list[NodeState]:
         """Returns the states of the other nodes that are alive."""
         return [member.state for member in self._members.alive()]
--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -12,6 +12,7 @@
 from orioleloft_core import packing
 from orioleloft_core.contention import RouteStatistics
 from orioleloft_core.crashes import CrashRecord
+from orioleloft_core.numericinput import require_number, require_whole_number
 from orioleloft_core.ratelimits import RateLimitNotice
 from orioleloft_core.registry import StateVersion
 from orioleloft_core.updates import StateUpdate
@@ -271,6 +272,86 @@
     delivery: Delivery = Delivery.DIRECT
 
 
+@dataclasses.dataclass(frozen=True)
+class TenantDemand:
+    """How many tokens of a tenant a node asks for.
+
+    Attributes:
+        tenant: `allotments.tenant_key` of its name.
+        count: number of tokens, at least 1.
+
+    Raises:
+        ValueError: a number is out of range.
+    """
+
+    tenant: int
+    count: int
+
+    def __post_init__(self) -> None:
+        require_whole_number(self.tenant)
+        require_whole_number(self.count, 1)
+
+
+@dataclasses.dataclass(frozen=True)
+class AllotmentQuestion:
+    """Asks the holder of a zone for tokens; sent directly to it.
+
+    Attributes:
+        number: number of the question within the incarnation, which the answer repeats. A repeated
+            question has the same number and gets the same answer.
+        node: name of the asking node.
+        incarnation: its incarnation.
+        host: IP address that the answer goes to.
+        demands: the tenants and the tokens asked for.
+    """
+
+    number: int
+    node: str
+    incarnation: int
+    host: str
+    demands: tuple[TenantDemand, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class TenantGrant:
+    """Tokens that a holder grants for one demand of a question.
+
+    Attributes:
+        count: number of tokens.
+        wait_s: seconds until it is worth asking again, if fewer were granted than asked for.
+        room_s: seconds until the holder has the next token, or None if it cannot say, because it
+            does not hold the zone's part or does not know the tenant.
+
+    Raises:
+        ValueError: a number is out of range.
+    """
+
+    count: int
+    wait_s: float
+    room_s: float | None
+
+    def __post_init__(self) -> None:
+        require_whole_number(self.count)
+        require_number(self.wait_s)
+        if self.room_s is not None:
+            require_number(self.room_s)
+
+
+@dataclasses.dataclass(frozen=True)
+class AllotmentAnswer:
+    """Answers a question.
+
+    Attributes:
+        number: number of the question.
+        node: name of the holder.
+        grants: what is granted for each demand, in the order of the question.
+    """
+
+    number: int
+    node: str
+    grants: tuple[TenantGrant, ...]
+
+
 # Datagrams that are disseminated through relays.
 Broadcast = (
     Announcement
@@ -281,7 +362,7 @@
     | ContentionReport
     | RateLimitReport
 )
-Datagram = Ping | PingAnswer | Introduction | Broadcast
+Datagram = Ping | PingAnswer | Introduction | AllotmentQuestion | AllotmentAnswer | Broadcast
 _CLASSES = packing.classes_of(Datagram)
 
 
@@ -315,7 +396,7 @@
 def delivery_of(datagram: Datagram) -> Delivery:
     """Returns how a datagram got here; one that is never relayed came directly."""
     match datagram:
-        case Ping() | PingAnswer() | Introduction():
+        case Ping() | PingAnswer() | Introduction() | AllotmentQuestion() | AllotmentAnswer():
             return Delivery.DIRECT
     return datagram.delivery
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -63,6 +63,8 @@
         ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
         ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
         ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
+        ["AllotmentQuestion", 7, "n1", 5, "10.0.0.1", [[99, 3], [100, 1]]],
+        ["AllotmentAnswer", 7, "n2", [[2, 0.05, 0.25], [0, 0.1, None]]],
     )
     def test_datagrams(self, values):
         """Guards against a renamed class, which nodes of the last release could not decode."""
@@ -119,6 +121,8 @@
                 "CrashReport": messages.CrashReport,
                 "ContentionReport": messages.ContentionReport,
                 "RateLimitReport": messages.RateLimitReport,
+                "AllotmentQuestion": messages.AllotmentQuestion,
+                "AllotmentAnswer": messages.AllotmentAnswer,
             },
         )
 
