--- /dev/null
+++ b/packages/node/orioleloftd/allotmentexchange.py
@@ -0,0 +1,392 @@
+"""Exchange of allotment tokens between nodes: timers, datagrams, requests that wait for a token.
+
+Nothing is sent and no task runs unless the settings bound allotments and a tenant has one.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
+
+from orioleloft_core.allotments import (
+    ANSWER_TIMEOUT_S,
+    ASK_PERIOD_S,
+    HOLDER_DELAY_S,
+    OVERDUE_S,
+    AllotmentClient,
+    AllotmentHolder,
+    Ask,
+    Exceeded,
+    HolderView,
+    Outcome,
+    Taken,
+    Unavailable,
+)
+from orioleloft_core.entrysettings import AllotmentBounds
+from orioleloft_core.errors import ErrorCode
+from orioleloft_core.fleet import Fleet
+from orioleloft_core.messages import AllotmentAnswer, AllotmentQuestion, NodeList, OutgoingDatagram
+from orioleloft_core.routes import Tenant
+from orioleloftd.logs import log_event
+from orioleloftd.storesync import StoreError
+
+# Time for which a request waits for a token at most, in seconds.
+MAX_WAIT_S = ANSWER_TIMEOUT_S
+# Interval between checks whether this node should hold a zone's part, in seconds.
+CONFIRM_PERIOD_S = 1.0
+# Time after its start from which a node holds a part although it cannot read the registered nodes,
+# in seconds. By then, pings have told it of the nodes that are alive.
+UNREADABLE_STORE_DELAY_S = 6.0
+# Interval between log lines on the refusals of a tenant, in seconds, and the maximum number of
+# tenants that are logged in each.
+LOG_PERIOD_S = 1.0
+MAX_LOGGED_TENANTS = 20
+# Value for a deployment without allotments, in which nothing reads it.
+_NO_BOUNDS = AllotmentBounds(window=5.0, overage=0.1, slack=20.0)
+
+_log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """The request may run; `token` is None if its tenant has no allotment."""
+
+    token: Taken | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The request must not run.
+
+    Attributes:
+        code: error code of the reply.
+        reason: description of the error.
+        retry_after: seconds after which the caller may retry.
+    """
+
+    code: ErrorCode
+    reason: str
+    retry_after: float
+
+
+class AllotmentGate(Protocol):
+    """Admits the requests of tenants within their allotments."""
+
+    async def admit(self, tenant: Tenant | None) -> Admitted | Refused:
+        """Takes a token for a request, after its key has been checked."""
+
+    def on_not_run(self, tenant: Tenant | None, admitted: Admitted) -> None:
+        """Gives back the token of a request that was not run."""
+
+
+class NodeRegistry(Protocol):
+    """Reads the registered nodes; implemented by the store's client."""
+
+    async def read_registered_nodes(self) -> NodeList:
+        """Returns the registered nodes."""
+
+
+@dataclasses.dataclass
+class _Refusals:
+    """Refused requests of one tenant since its last log line."""
+
+    exceeded: int = 0
+    unavailable: int = 0
+    retry_after: float = 0.0
+
+
+class AllotmentExchange:
+    """Client and holder of allotments of one node; implements `AllotmentGate`.
+
+    Args:
+        bounds: how far tenants may exceed their allotments; None if there are no allotments.
+        fleet: membership.
+        store: reads the registered nodes.
+        has_seeds: whether the settings name other nodes.
+        send: sends datagrams.
+        count: increments a counter.
+        spawn: runs a coroutine as a background task.
+        clock: returns seconds of the node's clock.
+        rng: random number generator.
+    """
+
+    def __init__(
+        self,
+        *,
+        bounds: AllotmentBounds | None,
+        fleet: Fleet,
+        store: NodeRegistry,
+        has_seeds: bool,
+        send: Callable[[list[OutgoingDatagram]], object],
+        count: Callable[..., None],
+        spawn: Callable[[Awaitable[None]], None],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._is_enabled = bounds is not None
+        self._fleet = fleet
+        self._store = store
+        self._has_seeds = has_seeds
+        self._send = send
+        self._count = count
+        self._spawn = spawn
+        self._clock = clock
+        bounds = bounds or _NO_BOUNDS
+        own = fleet.own_state
+        self._name = own.name
+        self._view = HolderView(lambda: self._fleet.zones)
+        self._holder = AllotmentHolder(own.name, self._view, bounds)
+        self._client = AllotmentClient(
+            own.name, own.incarnation, own.host, own.zone, self._view, bounds, rng
+        )
+        self._started_at = clock()
+        self._is_active = False
+        self._is_running = False
+        self._is_confirming = False
+        self._is_flush_due = False
+        self._was_holding = False
+        self._logged_at = 0.0
+        self._waiters: dict[str, collections.deque[asyncio.Future]] = {}
+        self._refusals: dict[str, _Refusals] = {}
+
+    @property
+    def gauges(self) -> dict[str, float]:
+        """Metrics of this node: its unspent tokens, and whether it grants those of its zone."""
+        if not self._is_enabled:
+            return {}
+        return {
+            "allotment_tokens": self._client.outstanding(self._clock()),
+            "allotment_holder": self.is_holding,
+        }
+
+    @property
+    def is_holding(self) -> bool:
+        """Whether this node grants the tokens of its zone."""
+        return self._is_active and self._holder.is_holding(self._clock())
+
+    def adopt(self, tenants: Iterable[Tenant]) -> None:
+        """Adopts the tenants of the table in force; starts the tasks if one has an allotment."""
+        if not self._is_enabled:
+            return
+        limited = [tenant for tenant in tenants if tenant.is_limited]
+        if not limited and not self._is_active:
+            return
+        now = self._clock()
+        self._is_active = bool(limited)
+        self._holder.adopt(now, limited)
+        self._client.adopt(now, limited)
+        for name in list(self._waiters):
+            self._settle(name)
+        if self._is_active and not self._is_running:
+            self._is_running = True
+            self._spawn(self._run())
+        if self._is_active and not self._is_confirming:
+            self._is_confirming = True
+            self._spawn(self._confirm_holder())
+
+    # Requests; see `AllotmentGate`.
+
+    async def admit(self, tenant: Tenant | None) -> Admitted | Refused:
+        """Takes a token for a request; waits for one for up to `MAX_WAIT_S`.
+
+        Args:
+            tenant: tenant of the request, or None.
+        """
+        if tenant is None or not self._is_active or not tenant.is_limited:
+            return Admitted()
+        outcome = self._client.take(self._clock(), tenant.name)
+        if isinstance(outcome, Ask):
+            outcome = await self._wait(tenant.name)
+        match outcome:
+            case Taken():
+                return Admitted(outcome)
+            case Exceeded(retry_after=seconds):
+                self._refusals.setdefault(tenant.name, _Refusals()).exceeded += 1
+                code, reason = ErrorCode.ALLOTMENT_EXCEEDED, "the tenant's allotment is used up"
+            case Unavailable(retry_after=seconds):
+                self._refusals.setdefault(tenant.name, _Refusals()).unavailable += 1
+                code, reason = ErrorCode.ALLOTMENT_UNAVAILABLE, "no holder of allotments answers"
+        self._refusals[tenant.name].retry_after = seconds
+        self._count("allotment_refusals", code=code.value)
+        return Refused(code, reason, seconds)
+
+    def on_not_run(self, tenant: Tenant | None, admitted: Admitted) -> None:
+        """Gives back the token of a request that was not run."""
+        if tenant is not None and admitted.token is not None:
+            self._client.give_back(self._clock(), tenant.name, admitted.token)
+            self._settle(tenant.name)
+
+    async def _wait(self, name: str) -> Outcome:
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[Outcome] = loop.create_future()
+        self._waiters.setdefault(name, collections.deque()).append(waiter)
+        self._client.set_waiting(name, len(self._waiters[name]))
+        self._request_flush()
+        timer = loop.call_later(MAX_WAIT_S, self._give_up, name, waiter)
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self._remove(name, waiter)
+            if waiter.done() and not waiter.cancelled() and isinstance(waiter.result(), Taken):
+                self._client.give_back(self._clock(), name, waiter.result())
+            raise
+        finally:
+            timer.cancel()
+
+    def _remove(self, name: str, waiter: asyncio.Future) -> None:
+        queue = self._waiters.get(name)
+        if queue is not None and waiter in queue:
+            queue.remove(waiter)
+            self._update_queue(name, queue)
+
+    def _update_queue(self, name: str, queue: collections.deque) -> None:
+        self._client.set_waiting(name, len(queue))
+        if not queue:
+            self._waiters.pop(name, None)
+
+    def _give_up(self, name: str, waiter: asyncio.Future) -> None:
+        if waiter.done():
+            return
+        self._remove(name, waiter)
+        waiter.set_result(self._client.resolve(self._clock(), name, is_last=True))
+
+    def _settle(self, name: str) -> None:
+        """Decides the requests that wait for a token of a tenant, in the order of arrival."""
+        queue = self._waiters.get(name)
+        if queue is None:
+            return
+        now = self._clock()
+        while queue:
+            if queue[0].done():
+                queue.popleft()
+                continue
+            outcome = self._client.resolve(now, name)
+            if isinstance(outcome, Ask):
+                break
+            queue.popleft().set_result(outcome)
+        self._update_queue(name, queue)
+
+    # Datagrams.
+
+    def on_question(self, question: AllotmentQuestion) -> None:
+        """Answers a question of another node."""
+        if self._is_active:
+            answer = self._holder.answer(self._clock(), question)
+            self._send([OutgoingDatagram(question.host, answer)])
+
+    def on_answer(self, answer: AllotmentAnswer) -> None:
+        """Hands granted tokens to the requests that wait, and asks for what is still needed."""
+        names = self._client.on_answer(self._clock(), answer)
+        for name in names:
+            self._settle(name)
+        if names:
+            self._request_flush()
+
+    def _request_flush(self) -> None:
+        """Sends questions after the current events, so that one question covers them all."""
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._is_flush_due = False
+        now = self._clock()
+        for holder, question in self._client.questions(now):
+            if holder == self._name:
+                self.on_answer(self._holder.answer(now, question))
+            else:
+                self._send_question(holder, question)
+
+    def _send_question(self, holder: str, question: AllotmentQuestion) -> None:
+        host = self._fleet.host_of(holder)
+        if host is not None:
+            self._send([OutgoingDatagram(host, question)])
+        asyncio.get_running_loop().call_later(OVERDUE_S, self._repeat, holder, question.number)
+
+    def _repeat(self, holder: str, number: int) -> None:
+        if not self._client.is_open(number):
+            return
+        question = self._client.repeat(self._clock(), number)
+        if question is not None:
+            self._send_question(holder, question)
+        self._request_flush()
+        for name in list(self._waiters):
+            self._settle(name)
+
+    # Periodic work.
+
+    async def _run(self) -> None:
+        while self._is_active:
+            await asyncio.sleep(ASK_PERIOD_S)
+            try:
+                self._tick()
+            except Exception:
+                _log.exception("periodic work on allotments failed")
+        self._is_running = False
+
+    def _tick(self) -> None:
+        now = self._clock()
+        self._client.end_period(now)
+        self._client.drop_old_questions(now)
+        if not self._client.is_idle:
+            self._flush()
+        if self.is_holding != self._was_holding:
+            self._was_holding = not self._was_holding
+            event = "allotments held" if self._was_holding else "allotments no longer held"
+            log_event(_log, event, holders=len(self._view.get()))
+        if now - self._logged_at >= LOG_PERIOD_S:
+            self._logged_at = now
+            self._log_refusals()
+
+    def _log_refusals(self) -> None:
+        refusals, self._refusals = self._refusals, {}
+        for name in list(refusals)[:MAX_LOGGED_TENANTS]:
+            each = refusals[name]
+            log_event(
+                _log,
+                "allotment refusals",
+                tenant=name,
+                exceeded=each.exceeded,
+                unavailable=each.unavailable,
+                retry_after=round(each.retry_after, 2),
+                tenants=len(refusals),
+            )
+
+    # The role of the holder.
+
+    async def _confirm_holder(self) -> None:
+        """Confirms this node as a holder once its view of the registered nodes is complete.
+
+        A node that has just started, alone or with its zone, would take itself for the holder of
+        the only zone and grant the whole rate.
+        """
+        await asyncio.sleep(HOLDER_DELAY_S)
+        while not (self._is_chosen() and await self._is_view_complete()):
+            await asyncio.sleep(CONFIRM_PERIOD_S)
+        self._holder.confirm()
+
+    def _is_chosen(self) -> bool:
+        return self._name in self._view.get().values()
+
+    async def _is_view_complete(self) -> bool:
+        """Compares the view with the store; returns whether this node is a holder by it.
+
+        A node that is registered was known to all before it started. A new one waits until it has
+        heard the node that it replaces, which then knows it as well.
+        """
+        try:
+            registered = await self._store.read_registered_nodes()
+        except StoreError:
+            is_late = self._clock() - self._started_at >= UNREADABLE_STORE_DELAY_S
+            return is_late and (bool(self._fleet.alive()) or not self._has_seeds)
+        for node in registered.nodes:
+            self._fleet.add(node)
+        if not self._is_chosen():
+            return False
+        if any(node.name == self._name for node in registered.nodes):
+            return True
+        replaced = self._view.replaced_by(self._name)
+        return replaced is None or self._fleet.is_alive(replaced)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -11,11 +11,13 @@
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.entrysettings import EntrySettings
-from orioleloft_core.errors import ErrorCode
+from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.fleet import Fleet
 from orioleloft_core.looplag import LoopLagMonitor
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.messages import (
+    AllotmentAnswer,
+    AllotmentQuestion,
     ContentionReport,
     Datagram,
     NodeState,
@@ -30,6 +32,7 @@
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloft_core.stopping import GracefulShutdown
 from orioleloft_core.updates import StateUpdate
+from orioleloftd.allotmentexchange import AllotmentExchange, Refused
 from orioleloftd.connections import HttpClient
 from orioleloftd.controlserver import ControlResponse, ControlServer
 from orioleloftd.crasharchive import CrashArchive
@@ -150,6 +153,17 @@
             self._rng,
             node_clock,
         )
+        self._allotments = AllotmentExchange(
+            bounds=settings.bounds.allotments,
+            fleet=self._fleet,
+            store=store,
+            has_seeds=bool(seeds),
+            send=self._transport.send,
+            count=self._metrics.count,
+            spawn=self._spawn,
+            clock=node_clock,
+            rng=self._rng,
+        )
         self._peer_protocol = PeerProtocol(
             fleet=self._fleet,
             state=self._state,
@@ -387,6 +401,7 @@
             self._applied_table = table
             self._traffic_splitter.retain_routes(table.routes)
             self._caller_server.apply_limits(table.limits)
+            self._allotments.adopt(table.tenants)
         before = self._fleet.own_state
         self._fleet.set_state_versions(self._state.state_versions)
         if self.is_ready and not before.is_ready:
@@ -407,7 +422,13 @@
             self._spawn(self._store_sync.wake_waiting_tasks())
 
     def _on_datagram(self, datagram: Datagram) -> None:
-        self._peer_protocol.on_datagram(datagram)
+        match datagram:
+            case AllotmentQuestion():
+                self._allotments.on_question(datagram)
+            case AllotmentAnswer():
+                self._allotments.on_answer(datagram)
+            case _:
+                self._peer_protocol.on_datagram(datagram)
 
     def on_target_report(self, now: float, report: TargetReport) -> None:
         """Adds another node's report to the observations of the target, for outlier detection."""
@@ -465,6 +486,8 @@
 
     def _serve_metrics(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
         self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
+        for name, value in self._allotments.gauges.items():
+            self._metrics.set_gauge(name, value)
         self._metrics.set_gauge("blocked_requests", self._crash_tracker.blocked_count)
         self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
@@ -559,9 +582,18 @@
         if route is None:
             text = f"no route in version {self._state.table.version}"
             return self._error_reply(request, ErrorCode.UNKNOWN_ROUTE, text)
-        return await self._forwarder.forward(
+        tenant = None
+        admission = await self._allotments.admit(tenant)
+        if isinstance(admission, Refused):
+            return self._forwarder.error_reply(
+                request.id, admission.code, admission.reason, admission.retry_after
+            )
+        reply = await self._forwarder.forward(
             request, route, self._traffic_splitter.next_service(route)
         )
+        if reply.code and ERROR_RESPONSES[reply.code].outcome is ExecutionOutcome.NOT_RUN:
+            self._allotments.on_not_run(tenant, admission)
+        return reply
 
     def _error_reply(self, request: CallerRequest, code: ErrorCode, text: str) -> CallerReply:
         return self._forwarder.error_reply(request.id, code, text)
