--- a/packages/node/orioleloftd/allotmentexchange.py
+++ b/packages/node/orioleloftd/allotmentexchange.py
@@ -11,20 +11,18 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
-from orioleloft_core.allotments import (
+from orioleloft_core.allotmentclient import (
     ANSWER_TIMEOUT_S,
     ASK_PERIOD_S,
-    HOLDER_DELAY_S,
-    OVERDUE_S,
+    REPEAT_S,
     AllotmentClient,
-    AllotmentHolder,
     Ask,
     Exceeded,
-    HolderView,
     Outcome,
     Taken,
     Unavailable,
 )
+from orioleloft_core.allotments import HOLDER_DELAY_S, AllotmentHolder, HolderView
 from orioleloft_core.entrysettings import AllotmentBounds
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.fleet import Fleet
@@ -304,7 +302,7 @@
         host = self._fleet.host_of(holder)
         if host is not None:
             self._send([OutgoingDatagram(host, question)])
-        asyncio.get_running_loop().call_later(OVERDUE_S, self._repeat, holder, question.number)
+        asyncio.get_running_loop().call_later(REPEAT_S, self._repeat, holder, question.number)
 
     def _repeat(self, holder: str, number: int) -> None:
         if not self._client.is_open(number):
@@ -381,7 +379,8 @@
             registered = await self._store.read_registered_nodes()
         except StoreError:
             is_late = self._clock() - self._started_at >= UNREADABLE_STORE_DELAY_S
-            return is_late and (bool(self._fleet.alive()) or not self._has_seeds)
+            # With one zone only in view, the others may be cut off; their parts are not known.
+            return is_late and (len(self._view.get()) > 1 or not self._has_seeds)
         for node in registered.nodes:
             self._fleet.add(node)
         if not self._is_chosen():
--- a/standins/allotmentfleet.py
+++ b/standins/allotmentfleet.py
@@ -88,7 +88,8 @@
 
     Attributes:
         ran: requests that ran, by tenant.
-        refused: refusals, by tenant.
+        offered: times of all requests, by tenant.
+        refused: refusals with their times, by tenant.
         loss: share of datagrams that are lost.
         delay_s: bounds of the delay of datagrams, in seconds.
         is_cut: whether datagrams from one node to another are lost.
@@ -112,7 +113,8 @@
         self.zones = {f"n{i}": f"z{i % ZONES}" for i in range(node_count)}
         self.registered = dict(self.zones)
         self.ran: dict[str, list[Ran]] = {}
-        self.refused: dict[str, list[Refused]] = {}
+        self.offered: dict[str, list[float]] = {}
+        self.refused: dict[str, list[tuple[float, Refused]]] = {}
         self.loss = 0.0
         self.delay_s = 0.0005, 0.002
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
@@ -260,6 +262,7 @@
             tenant: tenant of the request, as the caller's node has it.
             not_run_share: share of admitted requests that are not run after all.
         """
+        self.offered.setdefault(tenant.name, []).append(self.now)
         if name in self.processes:
             task = self._loop.create_task(self._request(name, tenant, not_run_share))
             self._requests.add(task)
@@ -273,7 +276,7 @@
         if self.processes.get(name) is not process or not self._knows(name, tenant):
             return
         if isinstance(outcome, Refused):
-            self.refused.setdefault(tenant.name, []).append(outcome)
+            self.refused.setdefault(tenant.name, []).append((self.now, outcome))
             return
         if self.rng.random() < not_run_share:
             await asyncio.sleep(self.rng.uniform(0.0, 0.6))
@@ -300,6 +303,24 @@
                 count += 1
                 self.request(name, tenant, **options)
 
+    def owed(self, tenant: Tenant) -> int:
+        """Returns how many requests a single token bucket with the limit would have let run."""
+        cap = max(1.0, tenant.burst)
+        tokens, filled_at, count = cap, 0.0, 0
+        for at in self.offered.get(tenant.name, []):
+            tokens = min(cap, tokens + (at - filled_at) * tenant.rate_per_s)
+            filled_at = at
+            if tokens >= 1:
+                tokens -= 1
+                count += 1
+        return count
+
+    def share(self, *tenants: Tenant) -> float:
+        """Returns the share of what the tenants were owed that ran, up to 1 for each."""
+        owed = {each.name: self.owed(each) for each in tenants}
+        ran = sum(min(count, len(self.ran.get(name, []))) for name, count in owed.items())
+        return ran / sum(owed.values())
+
     def _limits_of(self, tenant: str, start: float, end: float) -> Iterator[tuple[float, float]]:
         """Yields rate and burst of each limit that may apply in a window.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -10,7 +10,12 @@
 
 from orioleloft_adapter.headers import PlatformHeaders
 from orioleloft_core.crashes import CrashTracker, RequestFingerprints
-from orioleloft_core.entrysettings import Endpoint, EntrySettings, OperatorBounds
+from orioleloft_core.entrysettings import (
+    AllotmentBounds,
+    Endpoint,
+    EntrySettings,
+    OperatorBounds,
+)
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.messages import NodeList, StoreAccess
 from orioleloft_core.registry import ClosedZones, RegisteredTarget, StateVersion, TargetList
@@ -19,6 +24,7 @@
     Route,
     RouteKind,
     RouteTable,
+    Tenant,
     WeightedService,
 )
 from orioleloft_core.updates import StateUpdate
@@ -77,7 +83,7 @@
 
 
 class EntryTest(unittest.TestCase):
-    def start(self, store, seeds=(), name="n0", grace_period=0.5):
+    def start(self, store, seeds=(), name="n0", grace_period=0.5, allotments=None):
         caller_endpoint, readiness_endpoint, directory_endpoint, peer_endpoint = (
             Endpoint(HOST, port) for port in free_ports(4)
         )
@@ -90,7 +96,7 @@
             peer_endpoint,
             peer_endpoint,
             seeds=seeds,
-            bounds=OperatorBounds(grace_period=grace_period),
+            bounds=OperatorBounds(grace_period=grace_period, allotments=allotments),
         )
         self.stopped = asyncio.Event()
         return EntryNode(settings, PlatformHeaders(), store, self.stopped.set)
@@ -133,6 +139,19 @@
         self.assertEqual(store.calls, [])
         self.assertIs(node._fleet.own_state.store, StoreAccess.STARTING)
 
+    @params(
+        (None, 2.0, 0, {}),
+        (AllotmentBounds(5.0, 0.1, 20.0), 0.0, 0, {"allotment_tokens": 0, "allotment_holder": 0}),
+        (AllotmentBounds(5.0, 0.1, 20.0), 2.0, 2, {"allotment_tokens": 0, "allotment_holder": 0}),
+    )
+    @async_test
+    async def test_tasks_for_allotments(self, bounds, rate, task_count, gauges):
+        """Guards against tasks or metrics of allotments in a deployment that has none."""
+        node = self.start(InMemoryStore(), allotments=bounds)
+        node._state.on_table(dataclasses.replace(TABLE, tenants=(Tenant("t", (), 1, rate, 1.0),)))
+        self.assertEqual(len(node._tasks), task_count)
+        self.assertEqual(node._allotments.gauges, gauges)
+
     @params((False, ErrorCode.NODE_STARTING, 503), (True, ErrorCode.UNKNOWN_ROUTE, 404))
     @async_test
     async def test_request_before_and_after_bootstrap(self, is_up, code, status):
