--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -15,6 +15,8 @@
 from orioleloft_core.looplag import LoopLagMonitor
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.messages import (
+    AllotmentAnswer,
+    AllotmentQuestion,
     CapacityReport,
     ContentionReport,
     Datagram,
@@ -29,6 +31,7 @@
 from orioleloft_core.routes import DEFAULT_LIMITS, CallerLimits, RouteTable, TrafficSplitter
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloft_core.stopping import GracefulShutdown
+from orioleloftd.allotmentexchange import AllotmentExchange
 from orioleloftd.bootstrap import Bootstrap
 from orioleloftd.capacityexchange import CapacityExchange
 from orioleloftd.connections import HttpClient
@@ -140,6 +143,17 @@
             self._rng,
             node_clock,
         )
+        self._allotments = AllotmentExchange(
+            bounds=settings.bounds.allotments,
+            fleet=self._fleet,
+            store=store,
+            has_seeds=bool(seeds),
+            send=self._transport.send,
+            count=self._metrics.count,
+            spawn=self._spawn,
+            clock=node_clock,
+            rng=self._rng,
+        )
         self._peer_protocol = PeerProtocol(
             fleet=self._fleet,
             state=self._state,
@@ -194,6 +208,7 @@
             startup_gate=self._startup_gate,
             forwarder=self._forwarder,
             traffic_splitter=self._traffic_splitter,
+            allotments=self._allotments,
             shutdown=self._shutdown,
             shutdown_sequence=self._shutdown_sequence,
             metrics=self._metrics,
@@ -367,6 +382,7 @@
             self._applied_table = table
             self._traffic_splitter.retain_routes(table.routes)
             self._caller_server.apply_limits(table.limits)
+            self._allotments.adopt(table.tenants)
         self._store_sync.note_era(self._state.era)
         before = self._fleet.own_state
         self._fleet.set_state_versions(self._state.state_versions)
@@ -390,7 +406,13 @@
             self._spawn(self._store_sync.wake_waiting_tasks())
 
     def _on_datagram(self, datagram: Datagram) -> None:
-        self._peer_protocol.on_datagram(datagram)
+        match datagram:
+            case AllotmentQuestion():
+                self._allotments.on_question(datagram)
+            case AllotmentAnswer():
+                self._allotments.on_answer(datagram)
+            case _:
+                self._peer_protocol.on_datagram(datagram)
         if isinstance(datagram, CapacityReport):
             self._capacity_exchange.on_report(datagram)
 
@@ -450,6 +472,8 @@
 
     def _serve_metrics(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
         self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
+        for name, value in self._allotments.gauges.items():
+            self._metrics.set_gauge(name, value)
         self._metrics.set_gauge("blocked_requests", self._crash_tracker.blocked_count)
         self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
         self._metrics.set_gauge("store_era", self._state.era)
--- a/packages/node/orioleloftd/requesthandler.py
+++ b/packages/node/orioleloftd/requesthandler.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 
 from orioleloft_core import tenants
-from orioleloft_core.errors import ErrorCode
+from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.routes import Route, Tenant, TrafficSplitter
 from orioleloft_core.stopping import GracefulShutdown
 from orioleloft_core.tenants import UNRESTRICTED, Authorization, Denied
+from orioleloftd.allotmentexchange import AllotmentGate, Refused
 from orioleloftd.exposition import NodeMetrics
 from orioleloftd.forwarding import Forwarder
 from orioleloftd.logs import log_event
@@ -34,6 +35,7 @@
         startup_gate: lets requests wait until the state is complete.
         forwarder: forwards requests to targets.
         traffic_splitter: selects the service of a request.
+        allotments: admits the requests of tenants within their allotments.
         shutdown: tells whether a request can still end before this node exits.
         shutdown_sequence: ends the requests that are in flight at the exit.
         metrics: receives status and latency of each reply.
@@ -48,6 +50,7 @@
         startup_gate: StartupGate,
         forwarder: Forwarder,
         traffic_splitter: TrafficSplitter,
+        allotments: AllotmentGate,
         shutdown: GracefulShutdown,
         shutdown_sequence: ShutdownSequence,
         metrics: NodeMetrics,
@@ -58,6 +61,7 @@
         self._startup_gate = startup_gate
         self._forwarder = forwarder
         self._traffic_splitter = traffic_splitter
+        self._allotments = allotments
         self._shutdown = shutdown
         self._shutdown_sequence = shutdown_sequence
         self._metrics = metrics
@@ -148,8 +152,17 @@
         self, request: CallerRequest, route: Route, authorization: Authorization
     ) -> CallerReply:
         """Forwards a request that is authorised; all of them pass here, and no other request."""
+        tenant = tenants.tenant_of(authorization)
+        admission = await self._allotments.admit(tenant)
+        if isinstance(admission, Refused):
+            return self._forwarder.error_reply(
+                request.id, admission.code, admission.reason, admission.retry_after
+            )
         service_name = self._traffic_splitter.next_service(route)
-        return await self._forwarder.forward(request, route, service_name, authorization)
+        reply = await self._forwarder.forward(request, route, service_name, authorization)
+        if reply.code and ERROR_RESPONSES[reply.code].outcome is ExecutionOutcome.NOT_RUN:
+            self._allotments.on_not_run(tenant, admission)
+        return reply
 
     def _error_reply(self, request: CallerRequest, code: ErrorCode, text: str) -> CallerReply:
         return self._forwarder.error_reply(request.id, code, text)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -73,6 +73,8 @@
         ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
         ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
         ["CapacityReport", STATE, [["n1", 88.8]], ["n2", "n3"], 0],
+        ["AllotmentQuestion", 7, "n1", 5, "10.0.0.1", [[99, 3], [100, 1]]],
+        ["AllotmentAnswer", 7, "n2", [[2, 0.05, 0.25], [0, 0.1, None]]],
     )
     def test_datagrams(self, values):
         """Guards against a renamed class, which nodes of the last release could not decode."""
@@ -145,6 +147,8 @@
                 "ContentionReport": messages.ContentionReport,
                 "RateLimitReport": messages.RateLimitReport,
                 "CapacityReport": messages.CapacityReport,
+                "AllotmentQuestion": messages.AllotmentQuestion,
+                "AllotmentAnswer": messages.AllotmentAnswer,
             },
         )
 
