Demonstration: a tenant with a key

Cause: nothing outside the tests showed what callers and targets see of a key.

Change: the demonstration adds a tenant to the stored configuration and checks 401 without its key, 200 with it, and the tenant's name at the targets.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,8 +1,8 @@
 """Demonstration of a complete deployment on loopback: `python -m standins.demo`.
 
 A store, targets of two services in three availability zones and five entry nodes run as separate
-processes. Release notes are published, requests are sent, a zone is closed and a node is stopped
-gracefully. Exits with 0 if all checks pass.
+processes. Release notes are published, requests are sent, a zone is closed, a tenant gets a key and
+a node is stopped gracefully. Exits with 0 if all checks pass.
 """
 
 import http.client
@@ -16,6 +16,7 @@
 import threading
 from collections.abc import Callable
 
+from orioleloft_adapter.store import CONFIG_KIND, CONFIG_OBJECT
 from standins.processes import (
     HOST,
     Processes,
@@ -31,10 +32,13 @@
 ZONES = ("za", "zb", "zc")
 NODE_COUNT = 5
 REQUESTS_PER_CHECK = 60
+CONFIG_PATH = f"/v1/objects/{CONFIG_KIND}/{CONFIG_OBJECT}"
 START_TIMEOUT_S = 20.0
 GRACE_PERIOD_S = 3.0
 START_NOTE = ROOT / "examples" / "start.ini"
 CLOSE_ZONE_NOTE = ROOT / "examples" / "zone-out.ini"
+# Tenant that the configuration gets in the course of the demonstration, and its API key.
+DEMO_TENANT, DEMO_KEY = "team-a", "demo-key"
 LOOKUPS_HOST, LEDGER_HOST = "lookups.example", "ledger.example"
 
 _request_ids = itertools.count(1)
@@ -51,6 +55,7 @@
     def __init__(self, folder: pathlib.Path, processes: Processes) -> None:
         self.folder = folder
         self.processes = processes
+        self.key = ""
         ports = free_ports(5)
         self.store = f"{HOST}:{ports[0]}"
         self.ports = dict(zip(("front", "ready", "control", "directory"), ports[1:], strict=True))
@@ -124,6 +129,7 @@
                 "Host": host,
                 "X-Request-Id": f"demo-{next(_request_ids)}",
                 "X-Deadline-Ms": "4000",
+                **({"Authorization": f"Token {self.key}"} if self.key else {}),
             }
             connection.request(method, "/api/item", body=body, headers=headers)
             response = connection.getresponse()
@@ -132,6 +138,14 @@
                 break
         return response.status
 
+    def add_tenant(self) -> None:
+        """Writes a version of the configuration that has a tenant, as other programs do."""
+        spec = fetch_json(self.store, CONFIG_PATH)["spec"]
+        spec["version"] = f"r{int(spec['version'][1:]) + 1}"
+        spec["tenants"] = {"columns": ["name", "api_keys"], "rows": [[DEMO_TENANT, [DEMO_KEY]]]}
+        raw_object = {"kind": CONFIG_KIND, "name": CONFIG_OBJECT, "spec": json.dumps(spec)}
+        fetch_json(self.store, "/control", {"raw_object": raw_object})
+
     def runs(self, service: str) -> list[dict]:
         """Returns the requests that the targets of a service have started to run."""
         ports = self.processes.log(service).splitlines()[0].split()[1:]
@@ -190,6 +204,7 @@
         "entry addresses for a caller in za", len(found_addresses), len(found_addresses) == 2
     )
     has_passed &= _check_closed_zone(deployment, node_addresses)
+    has_passed &= _check_tenant(deployment, node_addresses)
     has_passed &= _check_graceful_stop(deployment, node_addresses)
     return has_passed
 
@@ -218,6 +233,27 @@
     )
 
 
+def _check_tenant(deployment: Deployment, node_addresses: list[str]) -> bool:
+    deployment.add_tenant()
+    # A version of the configuration must be in force within the operators' bound of 2.5 s.
+    threading.Event().wait(2.5)
+    statuses = [deployment.send_request(each, "GET", LOOKUPS_HOST) for each in node_addresses]
+    has_passed = _print_check_result(
+        "look-ups without the key of a tenant", statuses, set(statuses) == {401}
+    )
+    deployment.key = DEMO_KEY
+    statuses = [deployment.send_request(each, "GET", LOOKUPS_HOST) for each in node_addresses]
+    has_passed &= _print_check_result(
+        "look-ups with its key", _count_successes(statuses), set(statuses) == {200}
+    )
+    identities = [run["identity"] for run in deployment.runs("availability") if run["identity"]]
+    return has_passed & _print_check_result(
+        "tenant at the targets",
+        identities[0]["X-Tenant"] if identities else None,
+        bool(identities) and all(each == {"X-Tenant": DEMO_TENANT} for each in identities),
+    )
+
+
 def _check_graceful_stop(deployment: Deployment, node_addresses: list[str]) -> bool:
     stop_timer = threading.Timer(
         0.1, lambda: deployment.processes.signal("entry-0", signal.SIGTERM)
