Separate waiting in queues from the choice of a target

Change: queuewaiting.py has the waits, the hand-over of freed slots and the queues per service; targetchooser.py only chooses. The permits of the node are built once and passed to both. The test that presets a queue sets it at the new owner. No change of behaviour.

--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -15,6 +15,7 @@
 from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.observations import OVERSIZED_RESPONSE_WEIGHT, LoadFigures
+from orioleloft_core.permits import PermitScheduler
 from orioleloft_core.ratelimits import AnswerKind, RateLimitNotice, RateLimits
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
@@ -25,6 +26,7 @@
 from orioleloftd.attemptrecorder import AttemptRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
 from orioleloftd.logs import log_event
+from orioleloftd.queuewaiting import QueueWaiting
 from orioleloftd.ratelimitrecorder import RateLimitRecorder
 from orioleloftd.requestcontext import (
     CallerReply,
@@ -122,6 +124,7 @@
         self._access = TargetAccess(wire, registry, memory, count, clock, self._rate_limit_recorder)
         self._service_times = ServiceTimes()
         self._contention = ContentionCurves()
+        permits = PermitScheduler(rate_limits, self._access.observations, zones, rng)
         self._chooser = TargetChooser(
             access=self._access,
             registry=registry,
@@ -136,9 +139,18 @@
             zones=zones,
             slow_start_limiter=slow_start_limiter,
             rate_limits=rate_limits,
+            permits=permits,
             probe_budget=probe_budget,
             clock=clock,
-            rng=rng,
+        )
+        self._waiting = QueueWaiting(
+            chooser=self._chooser,
+            access=self._access,
+            registry=registry,
+            service_times=self._service_times,
+            rate_limits=rate_limits,
+            permits=permits,
+            clock=clock,
         )
         self._recorder = AttemptRecorder(
             self._access, self._service_times, self._contention, report_target, clock
@@ -255,7 +267,7 @@
             return self._error(request, ErrorCode.TARGET_UNREACHABLE, "no attempts are left")
         if context.attempt_count and self._budget.available(self._clock(), service) < 1:
             return self._error(request, ErrorCode.NO_CAPACITY, "the retry budget is exhausted")
-        selected = await self._chooser.acquire_target(context)
+        selected = await self._waiting.acquire_target(context)
         if isinstance(selected, Rejection):
             return self.error_reply(
                 request.id, selected.code, selected.reason, selected.retry_after
@@ -276,7 +288,7 @@
     def _is_hedge_allowed(self, context: RequestContext) -> bool:
         """Whether attempts, queue and budget allow a hedge beside the running attempt."""
         service = context.service.name
-        if context.attempt_count >= context.route.attempts or self._chooser.has_queued_requests(
+        if context.attempt_count >= context.route.attempts or self._waiting.has_queued_requests(
             service
         ):
             return False
@@ -478,7 +490,7 @@
                 running = max(0, reported.running - 1)
                 reported = dataclasses.replace(reported, running=running)
             load = self._access.record_load(target, reported)
-            self._chooser.hand_over_slot(
+            self._waiting.hand_over_slot(
                 context.service.name, ProbedTarget(target, load), connection
             )
         else:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -205,7 +205,7 @@
         queue = AdmissionQueue()
         for step in range(100):
             queue.on_unqueued_dispatch(time.monotonic() + step / 100)
-        self.forwarder._chooser._queues["s"] = queue
+        self.forwarder._waiting._queues["s"] = queue
         replies = await asyncio.gather(*[self.send() for _ in range(12)])
         tracker.cancel()
         self.assertEqual({reply.status for reply in replies}, {200})
