--- a/packages/core/orioleloft_core/admissionqueue.py
+++ b/packages/core/orioleloft_core/admissionqueue.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import enum
 import itertools
 from typing import Any
 
@@ -28,6 +29,15 @@
 DISPATCHES_PER_CALLER_RETRY = 8
 
 
+class AdmissionPolicy(enum.StrEnum):
+    """Which requests wait, and which are refused, while no target has a free slot."""
+
+    # By priority, first attempts before retries, then arrival; the newest is refused.
+    ARRIVAL = "arrival"
+    # By priority, deadline and work, with fair shares; see `deadlineorder`.
+    DEADLINE = "deadline"
+
+
 @dataclasses.dataclass(frozen=True, order=True)
 class Rank:
     """Rank of a request in the queue; smaller ranks go first.
@@ -87,6 +97,16 @@
                 return retries[0]
         return self._queue[0]
 
+    @property
+    def waiting(self) -> tuple[QueuedRequest, ...]:
+        """The queued requests, the first to be served first."""
+        return tuple(self._queue)
+
+    @property
+    def dispatch_times(self) -> tuple[float, ...]:
+        """Times of the last dispatches, in seconds on the node's clock."""
+        return tuple(self._dispatched_at)
+
     def must_queue(self, rank: Rank) -> bool:
         """Whether requests of the same or a smaller rank are queued, so that a new one waits."""
         return any(request.rank <= rank for request in self._queue)
