Use the order by deadline for tables with tenants, or where the settings ask for it

Cause: queues knew the order of arrival only, and a waiting request could not be refused before the end of its wait.

Change: QueueWaiting asks for the policy with each request and converts a queue, with its waiting requests and its rate, when the table in force changes it. A displaced request is answered 503 no-capacity at once; it was never sent. Refusals under the new order say when there is room, and log lines and metrics give the inputs of the decision (admitted by priority, admission_refusals by reason, fair_share_lag_seconds). A test that presets a queue wraps it in ArrivalOrder.

--- a/packages/core/orioleloft_core/entrysettings.py
+++ b/packages/core/orioleloft_core/entrysettings.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from orioleloft_core.admissionqueue import AdmissionPolicy
 from orioleloft_core.errors import SettingsError
 from orioleloft_core.numericinput import parse_whole_number
 
@@ -96,6 +97,7 @@
         memory_bytes: memory limit of the process.
         min_address_ttl: minimum TTL of the entry addresses that callers receive, in seconds.
         bounds: limits that the operators set.
+        admission: order of admission while the configuration has no tenants.
     """
 
     name: str
@@ -111,6 +113,7 @@
     memory_bytes: int = 300 * 1024 * 1024
     min_address_ttl: float = 1.0
     bounds: OperatorBounds = OperatorBounds()
+    admission: AdmissionPolicy = AdmissionPolicy.ARRIVAL
 
     def __post_init__(self) -> None:
         """Checks name, zone and grace period.
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -218,6 +218,7 @@
             count=self._metrics.count,
             clock=node_clock,
             rng=self._rng,
+            admission=self._settings.admission,
         )
 
     def _budget_node_count(self) -> int:
@@ -465,6 +466,7 @@
 
     def _serve_metrics(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
         self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
+        self._metrics.set_gauge("fair_share_lag_seconds", self._forwarder.fair_share_lag)
         self._metrics.set_gauge("blocked_requests", self._crash_tracker.blocked_count)
         self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from orioleloft_core import attempts
+from orioleloft_core.admissionqueue import AdmissionPolicy
 from orioleloft_core.attempts import AttemptEnd, AttemptResult, Fail, Retry, ReturnResponse
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.callerretries import CallerRetryDetector
@@ -88,6 +89,7 @@
         count: increments a metric.
         clock: seconds on the node's clock.
         rng: source of randomness.
+        admission: order of admission while the route table has no tenants.
     """
 
     def __init__(
@@ -110,7 +112,9 @@
         count: Callable[..., None],
         clock: Callable[[], float],
         rng: random.Random,
+        admission: AdmissionPolicy = AdmissionPolicy.ARRIVAL,
     ) -> None:
+        self._admission = admission
         self._wire = wire
         self._table = table
         self._registry = registry
@@ -150,7 +154,10 @@
             service_times=self._service_times,
             rate_limits=rate_limits,
             permits=permits,
+            policy=self._admission_policy,
+            count=count,
             clock=clock,
+            rng=rng,
         )
         self._recorder = AttemptRecorder(
             self._access, self._service_times, self._contention, report_target, clock
@@ -173,11 +180,25 @@
         """Connections to targets and observations of them."""
         return self._access
 
+    @property
+    def fair_share_lag(self) -> float:
+        """Greatest difference of what waiting tenants got for their weights, in seconds of work."""
+        return self._waiting.fair_share_lag
+
+    def _admission_policy(self) -> AdmissionPolicy:
+        """Returns the order of admission: by deadline if the table has tenants."""
+        table = self._table()
+        if table is not None and table.tenants:
+            return AdmissionPolicy.DEADLINE
+        return self._admission
+
     def sweep(self) -> None:
         """Drops expired connections and the state of targets that are gone; called periodically."""
         self._access.sweep()
         table = self._table()
-        self._chooser.sweep(table.services if table else ())
+        services = table.services if table else ()
+        self._chooser.sweep(services)
+        self._waiting.sweep({service.name for service in services})
         self._contention.retain_only(self._registry.services)
 
     async def forward(self, request: CallerRequest, route: Route, service_name: str) -> CallerReply:
--- a/packages/node/orioleloftd/queuewaiting.py
+++ b/packages/node/orioleloftd/queuewaiting.py
@@ -3,12 +3,21 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Collection
 
-from orioleloft_core.admissionqueue import AdmissionQueue, QueuedRequest
+from orioleloft_core.admissionorder import (
+    AdmissionOrder,
+    ArrivalOrder,
+    RequestDemand,
+    WaitingRequest,
+)
+from orioleloft_core.admissionqueue import AdmissionPolicy
+from orioleloft_core.deadlineorder import DeadlineOrder
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.permits import PermitScheduler
 from orioleloft_core.ratelimits import RateLimits
+from orioleloft_core.refusalreturns import RefusalReturns
 from orioleloft_core.registry import TargetRegistry
 from orioleloft_core.selection import ProbedTarget
 from orioleloft_core.servicetime import ServiceTimes
@@ -27,18 +36,25 @@
 # Longest queue wait of a request that its caller retries, in seconds. Its response is late in any
 # case, and a caller that waits in vain retries later.
 MAX_CALLER_RETRY_WAIT_S = 0.4
+# Greatest priority with a label of its own in the metrics; others share one.
+MAX_PRIORITY_LABEL = 9
 # Maximum number of targets with rate limits in one log line.
 MAX_LOGGED_TARGETS = 20
 
 _log = logging.getLogger(__name__)
 
-_NO_CAPACITY = Rejection(ErrorCode.NO_CAPACITY, "no target can take the request")
+_NO_CAPACITY_TEXT = "no target can take the request"
 
 
 class _SlotHandover:
-    """Single-item mailbox through which a queued request receives a target with a free slot."""
+    """Single-item mailbox through which a queued request receives a target with a free slot.
+
+    Attributes:
+        is_displaced: whether the request has been refused in favour of others.
+    """
 
     def __init__(self) -> None:
+        self.is_displaced = False
         self._event = asyncio.Event()
         self._slot: tuple[ProbedTarget, Connection] | None = None
 
@@ -50,6 +66,11 @@
         self._slot = (candidate, connection)
         self._event.set()
 
+    def displace(self) -> None:
+        """Refuses the request, which must have left the queue before, and wakes it."""
+        self.is_displaced = True
+        self._event.set()
+
     def take(self) -> tuple[ProbedTarget, Connection] | None:
         """Removes and returns the stored target, or None if there is none."""
         slot, self._slot = self._slot, None
@@ -73,7 +94,10 @@
         service_times: expected service times per route.
         rate_limits: rate limits that targets state.
         permits: use of the permits of this node for targets with rate limits.
+        policy: returns the order of admission in force.
+        count: increments a metric.
         clock: seconds on the node's clock.
+        rng: source of the times at which refused callers return.
     """
 
     def __init__(
@@ -85,7 +109,10 @@
         service_times: ServiceTimes,
         rate_limits: RateLimits,
         permits: PermitScheduler,
+        policy: Callable[[], AdmissionPolicy],
+        count: Callable[..., None],
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._chooser = chooser
         self._access = access
@@ -93,8 +120,69 @@
         self._service_times = service_times
         self._rate_limits = rate_limits
         self._permits = permits
+        self._policy = policy
+        self._count = count
         self._clock = clock
-        self._queues: dict[str, AdmissionQueue] = {}
+        self._rng = rng
+        self._queues: dict[str, AdmissionOrder] = {}
+        self._returns: dict[str, RefusalReturns] = {}
+
+    @property
+    def fair_share_lag(self) -> float:
+        """Greatest difference of what waiting tenants got for their weights, in seconds of work."""
+        queues = self._queues.values()
+        return max(
+            (queue.fair_share_lag for queue in queues if isinstance(queue, DeadlineOrder)),
+            default=0.0,
+        )
+
+    def sweep(self, services: Collection[str]) -> None:
+        """Drops the queues of services that are gone and have no waiting requests."""
+        for name in [name for name in self._queues if name not in services]:
+            if not self._queues[name]:
+                del self._queues[name]
+                self._returns.pop(name, None)
+
+    def _queue(self, service: str) -> AdmissionOrder:
+        """Returns the queue of a service, changed to the order of admission in force."""
+        policy = self._policy()
+        queue = self._queues.get(service)
+        if queue is not None and queue.policy is policy:
+            return queue
+        changed = DeadlineOrder() if policy is AdmissionPolicy.DEADLINE else ArrivalOrder()
+        if queue is not None:
+            changed.adopt(queue)
+            log_event(
+                _log,
+                "admission order changed",
+                service=service,
+                policy=policy.value,
+                line=len(changed),
+            )
+        self._queues[service] = changed
+        return changed
+
+    def _returns_of(self, service: str) -> RefusalReturns:
+        returns = self._returns.get(service)
+        if returns is None:
+            returns = self._returns[service] = RefusalReturns(self._rng)
+        return returns
+
+    def _demand(self, context: RequestContext) -> RequestDemand:
+        """Returns what a request needs, with the priority of its tenant if that has one."""
+        route, tenant = context.route, getattr(context, "tenant", None)
+        priority = route.priority
+        if tenant is not None and tenant.priority is not None:
+            priority = tenant.priority
+        return RequestDemand(
+            rank=context.rank,
+            route=route.name,
+            tenant="" if tenant is None else tenant.name,
+            priority=priority,
+            work=self._service_times.expected(route.name, route.target_latency),
+            deadline=context.deadline,
+            is_retry=context.attempt_count > 0,
+        )
 
     def has_queued_requests(self, service: str) -> bool:
         """Whether requests of a service are queued."""
@@ -107,33 +195,88 @@
             The target, to be used or to be given back by `release_unused`, or why there is none:
             the queue is too long, no target became free in time, or none gets a permit in time.
         """
-        queue = self._queues.setdefault(context.service.name, AdmissionQueue())
+        service = context.service.name
+        queue, demand, now = self._queue(service), self._demand(context), self._clock()
+        self._on_asked(queue, service, demand, now)
         selected = None
-        if not queue.must_queue(context.rank):
+        if not queue.must_queue(now, demand):
             selected = await self._chooser.select_target(context)
         now = self._clock()
+        queue = self._queue(service)
         if selected is not None:
-            queue.on_unqueued_dispatch(now)
+            queue.on_unqueued_dispatch(now, demand)
+            self._count_served(queue, demand)
             return selected
         wait_deadline = now + self._max_wait(context, now)
-        ahead = queue.count_ahead(context.rank)
+        ahead = queue.count_ahead(demand)
         if not self._can_wait(context, ahead, now, wait_deadline):
-            return self._reject_without_permit(context, queue, now, now)
-        waiter = queue.enqueue(now, context.rank, wait_deadline, _SlotHandover())
+            return self._reject_without_permit(context, demand, now)
+        admission = queue.admit(now, demand, wait_deadline, _SlotHandover())
+        for displaced in admission.displaced:
+            displaced.handle.displace()
+        waiter = admission.request
         if waiter is None:
-            self._log_no_target(context, queue, now, "the queue is too long")
-            return _NO_CAPACITY
+            return self._refuse(context, demand, now, "the queue is too long", "room")
         try:
-            selected = await self._wait_in_queue(context, queue, waiter)
+            selected = await self._wait_in_queue(context, waiter)
         finally:
-            queue.dequeue(waiter)
+            self._queue(service).dequeue(waiter)
             unused_slot = waiter.handle.take()
             if unused_slot is not None:
-                self.hand_over_slot(context.service.name, *unused_slot)
+                self.hand_over_slot(service, *unused_slot)
         if isinstance(selected, SelectedTarget):
-            queue.on_queued_dispatch(self._clock(), context.rank)
+            queue = self._queue(service)
+            queue.on_queued_dispatch(self._clock(), waiter)
+            self._count_served(queue, demand)
         return selected
 
+    def _on_asked(
+        self, queue: AdmissionOrder, service: str, demand: RequestDemand, now: float
+    ) -> None:
+        """Counts a request where shares and times to return follow from the counts."""
+        if queue.policy is not AdmissionPolicy.DEADLINE:
+            return
+        queue.on_asked(now, demand)
+        if not demand.is_retry:
+            self._returns_of(service).on_asked(now, demand.rank.is_caller_retry)
+
+    def _count_served(self, queue: AdmissionOrder, demand: RequestDemand) -> None:
+        if queue.policy is AdmissionPolicy.DEADLINE:
+            self._count(
+                "admitted",
+                priority=str(min(MAX_PRIORITY_LABEL, demand.priority)),
+                late=str(int(demand.rank.is_caller_retry)),
+            )
+
+    def _refuse(
+        self,
+        context: RequestContext,
+        demand: RequestDemand,
+        since: float,
+        reason: str,
+        label: str,
+    ) -> Rejection:
+        """Refuses a request that was not run, and says when its caller should return.
+
+        Args:
+            context: the request.
+            demand: what it needs.
+            since: start of its wait, in seconds on the node's clock.
+            reason: reason in the reply and the log.
+            label: reason in the metrics.
+        """
+        service, now = context.service.name, self._clock()
+        queue = self._queue(service)
+        self._log_no_target(context, queue, demand, since, reason)
+        if not isinstance(queue, DeadlineOrder):
+            return Rejection(ErrorCode.NO_CAPACITY, _NO_CAPACITY_TEXT)
+        queue.on_refused(now)
+        self._count("admission_refusals", reason=label)
+        retry_after = self._returns_of(service).retry_after(
+            now, queue.backlog(now), context.deadline - now - demand.work
+        )
+        return Rejection(ErrorCode.NO_CAPACITY, reason, retry_after)
+
     def _can_wait(
         self, context: RequestContext, ahead: int, now: float, wait_deadline: float
     ) -> bool:
@@ -142,17 +285,25 @@
         )
 
     def _reject_without_permit(
-        self, context: RequestContext, queue: AdmissionQueue, now: float, since: float
+        self, context: RequestContext, demand: RequestDemand, since: float
     ) -> Rejection:
         """Rejects a request that gets no permit in time, and says when its caller should return."""
         reason = "all targets have rate limits"
-        self._log_no_target(context, queue, since, reason)
+        queue, now = self._queue(context.service.name), self._clock()
+        self._log_no_target(context, queue, demand, since, reason)
+        if queue.policy is AdmissionPolicy.DEADLINE:
+            self._count("admission_refusals", reason="permit")
         targets = self._chooser.untried_targets(context)
         retry_after = self._permits.retry_after(now, context.service.name, targets)
         return Rejection(ErrorCode.TARGETS_RATE_LIMITED, reason, retry_after)
 
     def _log_no_target(
-        self, context: RequestContext, queue: AdmissionQueue, since: float, reason: str
+        self,
+        context: RequestContext,
+        queue: AdmissionOrder,
+        demand: RequestDemand,
+        since: float,
+        reason: str,
     ) -> None:
         log_event(
             _log,
@@ -167,6 +318,7 @@
             cold=[candidate.target.id for candidate in context.candidates if candidate.is_cold],
             limited=self._limited_target_ids(context.service.name),
             targets=self._registry.target_list.version.revision,
+            **queue.describe(self._clock(), demand),
         )
 
     def _limited_target_ids(self, service: str) -> list[str]:
@@ -191,16 +343,20 @@
         return max(MIN_QUEUE_WAIT_S, min(useful_wait, remaining))
 
     async def _wait_in_queue(
-        self, context: RequestContext, queue: AdmissionQueue, waiter: QueuedRequest
+        self, context: RequestContext, waiter: WaitingRequest
     ) -> SelectedTarget | Rejection:
         """Waits until another request hands over a target, and probes while at the queue's head.
 
         Returns:
-            The target, or the rejection at the end of the wait, or as soon as all targets have
-            rate limits and no permit is due before it.
+            The target, or the rejection at the end of the wait, or as soon as the request is
+            displaced, or all targets have rate limits and no permit is due before it.
         """
-        since = self._clock()
+        service, demand, since = context.service.name, waiter.demand, self._clock()
         while True:
+            queue = self._queue(service)
+            if waiter.handle.is_displaced:
+                reason = "requests that cost more to refuse need the room"
+                return self._refuse(context, demand, since, reason, "displaced")
             remaining = waiter.wait_deadline - self._clock()
             if remaining <= 0:
                 # While others are queued, a slot spent on a late response delays theirs as well.
@@ -210,32 +366,37 @@
                         context, accepts_late_response=True
                     )
                 if selected is None:
-                    self._log_no_target(context, queue, since, "no target became free in time")
-                return selected or _NO_CAPACITY
+                    reason = "no target became free in time"
+                    return self._refuse(context, demand, since, reason, "wait")
+                return selected
             await waiter.handle.wait(min(remaining, queue.reprobe_interval))
+            queue = self._queue(service)
             slot = waiter.handle.take()
             selected = None
             if slot is not None:
                 selected = self._chooser.accept_handover(context, *slot)
                 if selected is None:
                     queue.requeue(waiter)
-            elif queue.head is waiter:
+            elif queue.next_request(self._clock()) is waiter:
                 selected = await self._chooser.select_target(context)
                 if selected is None:
-                    queue.on_no_free_target()
+                    self._queue(service).on_no_free_target()
             if selected is not None:
                 return selected
             now = self._clock()
-            if not self._can_wait(context, queue.position(waiter), now, waiter.wait_deadline):
-                return self._reject_without_permit(context, queue, now, since)
+            ahead = self._queue(service).position(waiter)
+            if not self._can_wait(context, ahead, now, waiter.wait_deadline):
+                return self._reject_without_permit(context, demand, since)
 
     def hand_over_slot(self, service: str, candidate: ProbedTarget, connection: Connection) -> None:
         """Hands a target with a free slot to the head of the queue, without another probe.
 
         If no request can take it, its connection returns to the pool.
         """
-        queue = self._queues.get(service)
-        waiter = queue.head if queue else None
+        queue, now = self._queues.get(service), self._clock()
+        if queue is not None and queue.policy is AdmissionPolicy.DEADLINE:
+            self._returns_of(service).on_ended(now)
+        waiter = queue.next_request(now) if queue else None
         if waiter is None or not self._chooser.can_hand_over(candidate, connection):
             self._access.release(candidate.target, connection)
             return
--- a/standins/memoryfleet.py
+++ b/standins/memoryfleet.py
@@ -1,6 +1,7 @@
 """Nodes and targets in memory: forwarders that send requests to targets without sockets."""
 
 import asyncio
+import collections
 import dataclasses
 import random
 from collections.abc import Callable, Iterator
@@ -10,6 +11,7 @@
 from tornado import httputil
 
 from orioleloft_adapter.headers import PlatformHeaders
+from orioleloft_core.admissionqueue import AdmissionPolicy
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.memory import MemoryAccount
@@ -63,6 +65,9 @@
         work_s: mean service time, in seconds.
         seed: seed of its service times.
         states_limit_on_probes: whether the answers to probes state the limit as well.
+
+    Attributes:
+        refuses_all: whether it refuses all requests at once, although it has free slots.
     """
 
     def __init__(
@@ -77,6 +82,7 @@
         self.arrivals: list[Arrival] = []
         self.told_at: dict[str, float] = {}
         self.running = 0
+        self.refuses_all = False
         self._states_limit_on_probes = states_limit_on_probes
         self._work_s = work_s
         self._rng = random.Random(seed)
@@ -92,7 +98,7 @@
             answer["X-Instance-Id"] = self.registration.id
             return self._answer(node, 200, answer, self._states_limit_on_probes)
         answer["X-Request-Id"] = headers["X-Request-Id"]
-        if self.running >= slots:
+        if self.refuses_all or self.running >= slots:
             answer["X-Not-Executed"] = "1"
             return self._answer(node, 503, answer)
         self.running += 1
@@ -149,6 +155,11 @@
         targets: all targets.
         seed: seed of its choices.
         report_rate_limit: sends a rate limit to the other nodes: name of this node, the limit.
+        admission: order of admission while the table has no tenants.
+
+    Attributes:
+        table: route table in force.
+        counts: values of the metrics by name and labels.
     """
 
     def __init__(
@@ -158,18 +169,20 @@
         targets: list[MemoryTarget],
         seed: int,
         report_rate_limit: Callable[[str, RateLimitNotice], None],
+        admission: AdmissionPolicy = AdmissionPolicy.ARRIVAL,
     ) -> None:
         self.name = name
+        self.counts: collections.Counter = collections.Counter()
         self.memory = MemoryAccount(10_000_000)
         self.rate_limits = RateLimits(name, lambda: zones, lambda: round(self._clock() * 1000))
         registry = TargetRegistry()
         registrations = tuple(target.registration for target in targets)
         registry.replace_targets(TargetList(StateVersion(1, 1), registrations))
-        table = RouteTable(1, (ROUTE,), (SERVICE,), DEFAULT_LIMITS)
+        self.table = RouteTable(1, (ROUTE,), (SERVICE,), DEFAULT_LIMITS)
         self._clock = asyncio.get_running_loop().time
         self.forwarder = Forwarder(
             wire=PlatformHeaders(),
-            table=lambda: table,
+            table=lambda: self.table,
             registry=registry,
             zones=lambda: zones,
             zone=zones[name],
@@ -182,12 +195,16 @@
             report_target=lambda *_: None,
             crashes=CrashTracker(),
             report_crashes=lambda *_: None,
-            count=lambda *_, **__: None,
+            count=self._count,
             clock=self._clock,
             rng=random.Random(f"{seed} {name}"),
+            admission=admission,
         )
         self._request_count = 0
 
+    def _count(self, name: str, amount: float = 1, **labels: str) -> None:
+        self.counts[name, *labels.values()] += amount
+
     async def send(self, route: Route = ROUTE) -> tuple[CallerReply, float]:
         """Forwards a request of a caller; returns the reply and its time in seconds."""
         started_at = self._clock()
@@ -209,6 +226,7 @@
         slots: slots of each target.
         work_s: mean service time, in seconds.
         states_limit_on_probes: see `MemoryTarget`.
+        admission: order of admission of all nodes.
     """
 
     def __init__(
@@ -220,7 +238,9 @@
         slots: int = 6,
         work_s: float = 0.15,
         states_limit_on_probes: bool = True,
+        admission: AdmissionPolicy = AdmissionPolicy.ARRIVAL,
     ) -> None:
+        self._admission = admission
         self.zones = {f"n{i}": f"z{i % 3}" for i in range(node_count)}
         registrations = [
             RegisteredTarget(f"t{i}", "s", "m", i, f"z{i % 3}", slots, False, 1)
@@ -238,7 +258,12 @@
     def start(self, name: str) -> None:
         """Starts or restarts a node, which then knows nothing but the targets and the nodes."""
         self.nodes[name] = MemoryNode(
-            name, self.zones, self.targets, self._seed, self._report_rate_limit
+            name,
+            self.zones,
+            self.targets,
+            self._seed,
+            self._report_rate_limit,
+            self._admission,
         )
 
     def _report_rate_limit(self, sender: str, notice: RateLimitNotice) -> None:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,6 +12,7 @@
 from orioleloft_adapter.encoding import encode_table
 from orioleloft_adapter.headers import PlatformHeaders
 from orioleloft_adapter.settings import parse_settings, read_settings
+from orioleloft_core.admissionqueue import AdmissionPolicy
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.errors import SettingsError
 from orioleloft_core.observations import LoadFigures
@@ -140,6 +141,7 @@
         "bounds=retry_budget_extra=nan",
         "bounds=probes_per_s=-1",
         "limits.memory_mb=inf",
+        "admission=soonest",
     )
     def test_malformed_field(self, line):
         """Guards against a malformed field that passes, or an error that states no remedy."""
@@ -149,6 +151,17 @@
             parse_settings("\n".join([*kept, line]))
         self.assertTrue(raised.exception.remedy)
 
+    @params(
+        ("", "", AdmissionPolicy.ARRIVAL),
+        ("admission=deadline", "", AdmissionPolicy.DEADLINE),
+        ("admission=deadline", "arrival", AdmissionPolicy.ARRIVAL),
+        ("", "deadline", AdmissionPolicy.DEADLINE),
+    )
+    def test_order_of_admission(self, line, variable, policy):
+        """Guards against a deployment that gets an order of admission it did not ask for."""
+        settings = parse_settings(f"{SETTINGS_FILE}{line}\n", admission=variable)
+        self.assertIs(settings.admission, policy)
+
     @params(b"", b"node=\xff\xfe", b"\x00" * 100, b"a" * 1_000_000)
     def test_file_that_is_no_settings_file(self, content):
         """Guards against a stack trace in place of an error that states the remedy."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,6 +11,7 @@
 
 from orioleloft_adapter.headers import PlatformHeaders
 from orioleloft_core import placement
+from orioleloft_core.admissionorder import ArrivalOrder
 from orioleloft_core.admissionqueue import AdmissionQueue
 from orioleloft_core.attempts import AttemptEnd, AttemptResult
 from orioleloft_core.budget import TokenBucket
@@ -205,7 +206,7 @@
         queue = AdmissionQueue()
         for step in range(100):
             queue.on_unqueued_dispatch(time.monotonic() + step / 100)
-        self.forwarder._waiting._queues["s"] = queue
+        self.forwarder._waiting._queues["s"] = ArrivalOrder(queue)
         replies = await asyncio.gather(*[self.send() for _ in range(12)])
         tracker.cancel()
         self.assertEqual({reply.status for reply in replies}, {200})
--- /dev/null
+++ b/tests/test_queuewaiting.py
@@ -0,0 +1,95 @@
+"""Tests of waiting under the order by deadline, with nodes and targets in memory."""
+
+import asyncio
+import dataclasses
+import unittest
+
+from nose2.tools import params
+from tornado import httputil
+
+from orioleloft_core.admissionqueue import AdmissionPolicy
+from orioleloft_core.errors import ErrorCode
+from orioleloft_core.refusalreturns import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
+from orioleloft_core.routes import Tenant
+from orioleloftd.requestcontext import CallerRequest, RequestContext
+from standins.memoryfleet import ROUTE, SERVICE, MemoryFleet
+from standins.virtualtime import run_in_virtual_time
+
+URGENT = dataclasses.replace(ROUTE, name="urgent", priority=0)
+TENANT = Tenant("large", ("digest",), 3, 0.0, 0.0)
+
+
+async def send_burst(node, routes, interval=0.004):
+    """Sends one request per route in turn; returns replies with their times."""
+    tasks = []
+    for route in routes:
+        tasks.append(asyncio.ensure_future(node.send(route)))
+        await asyncio.sleep(interval)
+    return await asyncio.gather(*tasks)
+
+
+class QueueWaitingTest(unittest.TestCase):
+    def run_fleet(self, scenario, target_count=2, **settings):
+        fleet = MemoryFleet(1, target_count, 1, admission=AdmissionPolicy.DEADLINE, **settings)
+
+        async def run():
+            with fleet.running():
+                return await scenario(fleet, fleet.nodes["n0"])
+
+        return run_in_virtual_time(run())
+
+    def test_displaced_requests(self):
+        """Guards against an urgent request refused for others, and a refusal that is not true."""
+
+        async def scenario(fleet, node):
+            replies = await send_burst(node, [ROUTE] * 40 + [URGENT] * 6)
+            runs = sum(not each.is_probe for target in fleet.targets for each in target.arrivals)
+            return replies, runs, node.counts
+
+        replies, runs, counts = self.run_fleet(scenario, slots=4)
+        urgent = [reply.status for reply, _ in replies[40:]]
+        refused = [(reply, seconds) for reply, seconds in replies if reply.status == 503]
+        displaced = [each for each in refused if "cost more" in each[0].message]
+        self.assertEqual(urgent, [200] * 6)
+        self.assertTrue(displaced)
+        self.assertEqual(counts["admission_refusals", "displaced"], len(displaced))
+        self.assertEqual(runs, len(replies) - len(refused))
+        for reply, seconds in refused:
+            self.assertEqual(reply.code, ErrorCode.NO_CAPACITY)
+            self.assertTrue(MIN_RETRY_AFTER_S <= reply.retry_after <= MAX_RETRY_AFTER_S)
+            self.assertLess(seconds, ROUTE.target_latency)
+
+    def test_change_of_table(self):
+        """Guards against requests that are lost as a table with tenants comes into force."""
+
+        async def scenario(fleet, node):
+            node.forwarder._admission = AdmissionPolicy.ARRIVAL
+            tables = [node.table, dataclasses.replace(node.table, tenants=(TENANT,))]
+            tasks = []
+            for index in range(60):
+                tasks.append(asyncio.ensure_future(node.send()))
+                await asyncio.sleep(0.01)
+                node.table = tables[index // 10 % 2]
+            return await asyncio.gather(*tasks), node.counts
+
+        replies, counts = self.run_fleet(scenario)
+        self.assertEqual({reply.status for reply, _ in replies}, {200, 503})
+        self.assertGreater(sum(reply.status == 200 for reply, _ in replies), 25)
+        self.assertGreater(counts["admitted", "1", "0"], 0)
+
+    @params(
+        (None, 1, ""),
+        (TENANT, 3, "large"),
+        (dataclasses.replace(TENANT, priority=None), 1, "large"),
+    )
+    def test_priority_of_the_tenant(self, tenant, priority, name):
+        """Guards against a tenant whose priority does not go before that of the route."""
+
+        async def scenario(fleet, node):
+            request = CallerRequest("j", "GET", "a", "/x", httputil.HTTPHeaders(), b"", 0.0, 3.0)
+            context = RequestContext(request, ROUTE, SERVICE, 3.0)
+            context.tenant = tenant
+            return node.forwarder._waiting._demand(context)
+
+        demand = self.run_fleet(scenario)
+        self.assertEqual((demand.priority, demand.tenant), (priority, name))
