Recognise targets that refuse all requests while they have free slots

Cause: a refusal with status 503 was no failure. A target that refuses at once and has good probes looks idle, so it drew ever more requests, and requests ran out of attempts.

Change: under the order by deadline, a refusal by a target that has a free slot by its own figures counts as half a failure, and as 1.5 from the second one without an answer between, which makes it an outlier; other nodes are told. Once three targets of a service are known to refuse, the first refusal of another one counts in full. A full target that refuses does not count, the first answer clears, and memory is bounded. The order of arrival is as before.

--- a/packages/node/orioleloftd/attemptrecorder.py
+++ b/packages/node/orioleloftd/attemptrecorder.py
@@ -1,5 +1,6 @@
 """Records what attempts show of targets: failures, speed and contention."""
 
+import logging
 from collections.abc import Callable
 
 from orioleloft_core.contention import (
@@ -10,6 +11,8 @@
 from orioleloft_core.observations import LoadFigures
 from orioleloft_core.registry import RegisteredTarget
 from orioleloft_core.servicetime import ServiceTimes
+from orioleloft_core.targetrefusals import TargetRefusals
+from orioleloftd.logs import log_event
 from orioleloftd.requestcontext import RequestContext, SelectedTarget
 from orioleloftd.targetaccess import TargetAccess
 
@@ -21,6 +24,8 @@
 # Slowdown factor up to which a target is at its usual speed.
 MAX_STEADY_PACE = 1.1
 
+_log = logging.getLogger(__name__)
+
 
 class AttemptRecorder:
     """Updates the observations, service times and contention curves after each attempt.
@@ -46,6 +51,7 @@
         self._contention = contention
         self._report_target = report_target
         self._clock = clock
+        self._refusals = TargetRefusals()
 
     def on_success(
         self,
@@ -64,6 +70,7 @@
         """
         self._record_contention(context, selected, seconds, load)
         route, target = context.route, selected.candidate.target
+        self._refusals.on_success(target.service, target.id)
         expected = max(0.001, selected.expected_response_time)
         factor = seconds / expected
         observations = self._access.observations(target)
@@ -133,3 +140,27 @@
         """
         self._access.observations(target).on_failure(self._clock(), weight)
         self._report_target(target.id, weight, 0.0)
+
+    def on_refusal(self, target: RegisteredTarget, load: LoadFigures | None) -> None:
+        """Records a refusal with status 503, which is a failure if the target has a free slot.
+
+        Args:
+            target: the target.
+            load: load figures in the response, or None.
+        """
+        if load is not None:
+            has_free_slot = load.running < load.slots and not load.waiting
+        else:
+            has_free_slot = not self._access.observations(target).is_full
+        weight = self._refusals.on_refusal(self._clock(), target.service, target.id, has_free_slot)
+        if weight > 0:
+            log_event(
+                _log,
+                "refusal counted",
+                target=target.id,
+                load=load,
+                failures=round(
+                    weight + self._access.observations(target).failures(self._clock()), 2
+                ),
+            )
+            self.on_failure(target, weight)
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -519,6 +519,8 @@
         if metadata.is_not_executed:
             if response.status != 503:
                 self._recorder.on_failure(target)
+            elif self._admission_policy() is AdmissionPolicy.DEADLINE:
+                self._recorder.on_refusal(target, metadata.load)
             return _EndedAttempt(
                 AttemptResult(AttemptEnd.REFUSED, response.status), target, response
             )
--- a/tests/test_queuewaiting.py
+++ b/tests/test_queuewaiting.py
@@ -93,3 +93,24 @@
 
         demand = self.run_fleet(scenario)
         self.assertEqual((demand.priority, demand.tenant), (priority, name))
+
+    @params((AdmissionPolicy.DEADLINE, True), (AdmissionPolicy.ARRIVAL, False))
+    def test_targets_that_refuse_all(self, policy, is_recognised):
+        """Guards against idle-looking targets that refuse all requests and draw ever more of them.
+
+        Under the order of arrival a refusal with 503 is no failure, as before.
+        """
+
+        async def scenario(fleet, node):
+            node.forwarder._admission = policy
+            for target in fleet.targets[:6]:
+                target.refuses_all = True
+            replies = await send_burst(node, [ROUTE] * 150, 0.06)
+            refusing = [each for target in fleet.targets[:6] for each in target.arrivals]
+            return replies, sum(not each.is_probe and each.at > 4.5 for each in refusing)
+
+        replies, refused_later = self.run_fleet(scenario, target_count=12)
+        answered = sum(reply.status == 200 for reply, _ in replies[75:])
+        self.assertEqual(refused_later < 15, is_recognised)
+        if is_recognised:
+            self.assertGreater(answered, 72)
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,95 @@
+"""Tests of the times at which refused callers return, and of targets that refuse."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from orioleloft_core.callerretries import MAX_RETRY_TIMEOUT_FRACTION
+from orioleloft_core.refusalreturns import (
+    MAX_RETRY_AFTER_S,
+    MIN_LATE_RETURN_FRACTION,
+    MIN_RETRY_AFTER_S,
+    RATE_WINDOW_S,
+    RefusalReturns,
+)
+from orioleloft_core.selection import OUTLIER_FAILURE_SCORE
+from orioleloft_core.targetrefusals import (
+    FIRST_REFUSAL_WEIGHT,
+    MANY_REFUSING_TARGETS,
+    MAX_REFUSING_TARGETS,
+    REFUSAL_TTL_S,
+    REPEATED_REFUSAL_WEIGHT,
+    TargetRefusals,
+)
+
+FIRST, AGAIN = FIRST_REFUSAL_WEIGHT, REPEATED_REFUSAL_WEIGHT
+
+
+def returns_with_rates(ended_per_s, new_per_s):
+    returns = RefusalReturns(random.Random(1))
+    for index in range(round(ended_per_s * RATE_WINDOW_S)):
+        returns.on_ended(10.0 - index / ended_per_s)
+    for index in range(round(new_per_s * RATE_WINDOW_S)):
+        returns.on_asked(10.0 - index / new_per_s, is_caller_retry=False)
+    return returns
+
+
+class RefusalReturnsTest(unittest.TestCase):
+    @params((20, 10, 20, 9.0, 2.0, 4.5), (20, 18, 5, 9.0, 2.0, 4.5), (20, 60, 5, 9.0, 2.0, 4.5))
+    def test_spread(self, ended, new, count, time_left, earliest, latest):
+        """Guards against callers that return together, or when there is no room for them."""
+        returns = returns_with_rates(ended, new)
+        times = [returns.retry_after(10.0, 2.0, time_left) for _ in range(count)]
+        self.assertGreaterEqual(min(times), earliest)
+        self.assertLessEqual(max(times), min(MAX_RETRY_AFTER_S, latest))
+        self.assertGreater(max(times) - min(times), 0.5)
+        self.assertEqual(len(set(times)), count)
+
+    @params((0, 0, 3.0), (20, 10, 3.0), (20, 50, 0.1), (20, 50, -1.0), (5, 500, 1e6))
+    def test_bounds(self, ended, new, time_left):
+        """Guards against a return after the caller gives up, at once, or in minutes."""
+        returns = returns_with_rates(ended, new)
+        for _ in range(300):
+            seconds = returns.retry_after(10.0, 0.3, time_left)
+            self.assertGreaterEqual(seconds, MIN_RETRY_AFTER_S)
+            self.assertLessEqual(seconds, max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, time_left)))
+
+    def test_return_is_recognised(self):
+        """Guards against returning callers that count as new ones and displace these."""
+        self.assertLess(1 - MIN_LATE_RETURN_FRACTION, MAX_RETRY_TIMEOUT_FRACTION)
+
+
+class TargetRefusalsTest(unittest.TestCase):
+    @params(
+        ("full targets", [(0.0, "t", False)] * 3, [0, 0, 0]),
+        ("one race", [(0.0, "t", True)], [FIRST]),
+        ("again and again", [(0.0, "t", True), (1.0, "t", True)], [FIRST, AGAIN]),
+        ("long after", [(0.0, "t", True), (REFUSAL_TTL_S, "t", True)], [FIRST, FIRST]),
+        (
+            "many targets",
+            [(0.0, f"t{n}", True) for n in range(MANY_REFUSING_TARGETS) for _ in range(2)]
+            + [(1.0, "new", True)],
+            [FIRST, AGAIN] * MANY_REFUSING_TARGETS + [AGAIN],
+        ),
+    )
+    def test_weights(self, case, refusals, expected):
+        """Guards against full targets that count as failed, and refusing ones that never do."""
+        seen = TargetRefusals()
+        weights = [seen.on_refusal(at, "s", target, free) for at, target, free in refusals]
+        self.assertEqual(weights, expected, case)
+        self.assertGreaterEqual(AGAIN, OUTLIER_FAILURE_SCORE)
+
+    def test_success_clears(self):
+        """Guards against refusals that count although the target runs requests between them."""
+        seen = TargetRefusals()
+        for moment in range(5):
+            self.assertEqual(seen.on_refusal(moment, "s", "t", True), FIRST)
+            seen.on_success("s", "t")
+
+    def test_bounded(self):
+        """Guards against memory that grows with the targets that ever refused."""
+        seen = TargetRefusals()
+        for number in range(2 * MAX_REFUSING_TARGETS):
+            seen.on_refusal(0.0, "s", f"t{number}", True)
+        self.assertLessEqual(len(seen._refused), MAX_REFUSING_TARGETS)
