--- a/packages/core/orioleloft_core/admissionorder.py
+++ b/packages/core/orioleloft_core/admissionorder.py
@@ -6,6 +6,10 @@
 
 from orioleloft_core.admissionqueue import AdmissionPolicy, AdmissionQueue, QueuedRequest, Rank
 
+# Subtracted from the sequence numbers of requests that another order has admitted, so that they
+# stay before later arrivals.
+ADOPTED_ORDER_OFFSET = 1 << 40
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestDemand:
@@ -184,7 +188,7 @@
         self, now: float, demand: RequestDemand, wait_deadline: float, handle: Any
     ) -> Admission:
         """See `AdmissionOrder`."""
-        request = WaitingRequest(demand, wait_deadline, handle)
+        request = WaitingRequest(demand, wait_deadline, handle, priority=demand.priority)
         request.queued = self._queue.enqueue(now, demand.rank, wait_deadline, request)
         if request.queued is None:
             return Admission(None)
@@ -192,7 +196,10 @@
         return Admission(request)
 
     def requeue(self, request: WaitingRequest) -> None:
-        """See `AdmissionOrder`."""
+        """See `AdmissionOrder`; the request may have left the queue under another order."""
+        if request.queued is None:
+            request.order -= ADOPTED_ORDER_OFFSET
+            request.queued = _queued(request)
         self._queue.requeue(request.queued)
 
     def dequeue(self, request: WaitingRequest) -> None:
@@ -204,12 +211,9 @@
         """See `AdmissionOrder`."""
         for at, _ in previous.starts:
             self._queue.on_unqueued_dispatch(at)
-        # Smaller than the numbers that the queue gives to later arrivals.
-        for order, request in enumerate(previous.waiting, -len(previous)):
-            request.order = order
-            request.queued = QueuedRequest(
-                request.demand.rank, request.wait_deadline, request, request.order
-            )
+        for request in previous.waiting:
+            request.order -= ADOPTED_ORDER_OFFSET
+            request.queued = _queued(request)
             self._queue.requeue(request.queued)
 
     def on_no_free_target(self) -> None:
@@ -232,6 +236,10 @@
         return {}
 
 
+def _queued(request: WaitingRequest) -> QueuedRequest:
+    return QueuedRequest(request.demand.rank, request.wait_deadline, request, request.order)
+
+
 def _order(request: WaitingRequest) -> int:
     return request.order
 
--- a/packages/core/orioleloft_core/deadlineorder.py
+++ b/packages/core/orioleloft_core/deadlineorder.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from orioleloft_core.admissionorder import (
+    ADOPTED_ORDER_OFFSET,
     Admission,
     AdmissionOrder,
     RequestDemand,
@@ -334,7 +335,10 @@
         return max(self._shares.shortfall(now, kind) for kind in entry.kinds)
 
     def requeue(self, request: WaitingRequest) -> None:
-        """See `AdmissionOrder`."""
+        """See `AdmissionOrder`; the request may have left the queue under another order."""
+        if request.queued is not None:
+            request.order -= ADOPTED_ORDER_OFFSET
+            request.queued = None
         self._add(request)
 
     def dequeue(self, request: WaitingRequest) -> None:
@@ -350,7 +354,7 @@
         for at, work in work_of_starts(previous.starts, usual):
             self._rate.on_start(at, work)
         for request in waiting:
-            request.order = next(self._sequence)
+            request.order -= ADOPTED_ORDER_OFFSET
             request.queued = None
             request.priority = request.demand.priority
             self._add(request)
--- a/packages/node/orioleloftd/queuewaiting.py
+++ b/packages/node/orioleloftd/queuewaiting.py
@@ -137,11 +137,11 @@
         )
 
     def sweep(self, services: Collection[str]) -> None:
-        """Drops the queues of services that are gone and have no waiting requests."""
-        for name in [name for name in self._queues if name not in services]:
-            if not self._queues[name]:
-                del self._queues[name]
-                self._returns.pop(name, None)
+        """Drops what was learned for services that are gone and have no waiting requests."""
+        for name in [name for name in self._returns if name not in services]:
+            if not self._queues.get(name):
+                self._queues.pop(name, None)
+                del self._returns[name]
 
     def _queue(self, service: str) -> AdmissionOrder:
         """Returns the queue of a service, changed to the order of admission in force."""
--- a/tests/test_deadlineorder.py
+++ b/tests/test_deadlineorder.py
@@ -159,7 +159,10 @@
             before.on_unqueued_dispatch(step / 20, demand())
         for index in range(3):
             before.admit(1.0, demand(), 2.0, index)
+        left = before.next_request(1.0)
+        before.dequeue(left)
         after.adopt(before)
+        after.requeue(left)
         self.assertTrue(all(after.admit(1.0, demand(), 2.0, 3 + n).request for n in range(3)))
         self.assertEqual(served(after, 1.0, 6), [0, 1, 2, 3, 4, 5])
 
