Correct the estimates with which a target was selected, under the order by deadline

Cause: each answer corrected the expected service time and the latency ratio of now, with a factor measured against the estimates at its selection. With 20 requests in flight, all of them repeated the correction of the first one. At 150 requests a second the expected time of a request of 150 ms swung between 60 and 700 ms, so that targets seemed too slow, hand-overs were declined, and slots were idle for seconds while requests waited.

Change: SelectedTarget keeps the estimates of its selection, and under the order by deadline the answer is measured against these. The order of arrival learns as before.

--- a/packages/node/orioleloftd/attemptrecorder.py
+++ b/packages/node/orioleloftd/attemptrecorder.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from orioleloft_core.admissionqueue import AdmissionPolicy
 from orioleloft_core.contention import (
     MIN_SERVICE_TIME_S,
     ContentionCurves,
@@ -36,6 +37,7 @@
         contention: contention curves of the services.
         report_target: reports a target to other nodes: target id, failures, latency ratio.
         clock: seconds on the node's clock.
+        policy: returns the order of admission in force.
     """
 
     def __init__(
@@ -45,12 +47,14 @@
         contention: ContentionCurves,
         report_target: Callable[[str, float, float], None],
         clock: Callable[[], float],
+        policy: Callable[[], AdmissionPolicy] = lambda: AdmissionPolicy.ARRIVAL,
     ) -> None:
         self._access = access
         self._service_times = service_times
         self._contention = contention
         self._report_target = report_target
         self._clock = clock
+        self._policy = policy
         self._refusals = TargetRefusals()
 
     def on_success(
@@ -76,8 +80,14 @@
         observations = self._access.observations(target)
         observations.on_success(self._clock())
         latency_ratio = observations.latency_ratio(self._clock())
-        observations.on_response_time(self._clock(), factor * latency_ratio)
         service_time = self._service_times.expected(route.name, route.target_latency)
+        if selected.basis is not None and self._policy() is AdmissionPolicy.DEADLINE:
+            # Against the estimates of now, all requests in flight repeat a correction that the
+            # first of them has made: at 150 requests a second, the expected time of a request of
+            # 150 ms swung between 60 and 700 ms, and the targets were idle for seconds.
+            latency_ratio = selected.basis.latency_ratio
+            service_time = selected.basis.service_time
+        observations.on_response_time(self._clock(), factor * latency_ratio)
         self._service_times.observe(route.name, route.target_latency, service_time * factor)
         if factor >= SLOW_REPORT_FACTOR:
             self._report_target(target.id, 0.0, factor)
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -160,7 +160,12 @@
             rng=rng,
         )
         self._recorder = AttemptRecorder(
-            self._access, self._service_times, self._contention, report_target, clock
+            self._access,
+            self._service_times,
+            self._contention,
+            report_target,
+            clock,
+            self._admission_policy,
         )
         self._caller_retries = CallerRetryDetector()
         self._crash_checks: set[asyncio.Task] = set()
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -124,6 +124,19 @@
     retry_after: float | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class SelectionBasis:
+    """Estimates at the time at which a target was selected.
+
+    Attributes:
+        service_time: expected service time of the route, in seconds.
+        latency_ratio: latency ratio of the target.
+    """
+
+    service_time: float
+    latency_ratio: float
+
+
 @dataclasses.dataclass(frozen=True, eq=False)
 class SelectedTarget:
     """A target that can start the request at once.
@@ -133,9 +146,11 @@
         connection: open connection that is ready for the request.
         expected_response_time: expected time to the response, in seconds.
         busy_slots: estimated busy slots of the target, including the one for the request.
+        basis: estimates from which `expected_response_time` was computed, or None.
     """
 
     candidate: ProbedTarget
     connection: Connection
     expected_response_time: float
     busy_slots: int
+    basis: SelectionBasis | None = None
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -12,7 +12,7 @@
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloftd.connections import Connection
-from orioleloftd.requestcontext import RequestContext, SelectedTarget
+from orioleloftd.requestcontext import RequestContext, SelectedTarget, SelectionBasis
 from orioleloftd.targetaccess import PROBE_WAIT_S, TargetAccess, result_or_none
 
 # Slowdown of a target, as a multiple of the service time, that a request past its target latency
@@ -281,10 +281,12 @@
         """Counts a request for a target that is selected for it."""
         expected_response_time = self._selector.expected_response_time(now, candidate, service_time)
         busy_slots = self._selector.busy_slots(candidate)
-        self._access.observations(candidate.target).on_selected()
+        observations = self._access.observations(candidate.target)
+        basis = SelectionBasis(service_time, observations.latency_ratio(now))
+        observations.on_selected()
         if candidate.is_cold:
             self._slow_start_limiter.on_sent(now, candidate.target.id)
-        return SelectedTarget(candidate, connection, expected_response_time, busy_slots)
+        return SelectedTarget(candidate, connection, expected_response_time, busy_slots, basis)
 
     def _is_response_in_time(
         self, context: RequestContext, candidate: ProbedTarget, now: float, service_time: float
--- a/tests/test_attemptrecorder.py
+++ b/tests/test_attemptrecorder.py
@@ -6,6 +6,7 @@
 from nose2.tools import params
 from tornado import httputil
 
+from orioleloft_core.admissionqueue import AdmissionPolicy
 from orioleloft_core.contention import ContentionCurves
 from orioleloft_core.observations import LoadFigures, TargetObservations
 from orioleloft_core.registry import RegisteredTarget
@@ -13,7 +14,12 @@
 from orioleloft_core.selection import ProbedTarget
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloftd.attemptrecorder import SLOW_REPORT_FACTOR, AttemptRecorder
-from orioleloftd.requestcontext import CallerRequest, RequestContext, SelectedTarget
+from orioleloftd.requestcontext import (
+    CallerRequest,
+    RequestContext,
+    SelectedTarget,
+    SelectionBasis,
+)
 
 TARGET = RegisteredTarget("t0", "s", "10.0.0.1", 80, "za", 6, False, 1)
 SERVICE = RoutedService("s", "/health", 100, 2.1, 3.0)
@@ -65,6 +71,30 @@
         )
         self.assertEqual(self.contention.of("s").unreported_count, count, case)
 
+    @params((AdmissionPolicy.ARRIVAL, False), (AdmissionPolicy.DEADLINE, True))
+    def test_answers_of_requests_in_flight_together(self, policy, is_bounded):
+        """Guards against an expected time that overshoots, as each answer repeats a correction.
+
+        The order of arrival keeps its estimates as they are.
+        """
+        service_times = ServiceTimes()
+        recorder = AttemptRecorder(
+            self.access,
+            service_times,
+            self.contention,
+            lambda *_: None,
+            lambda: 5.0,
+            lambda: policy,
+        )
+        selected = dataclasses.replace(
+            self.selected(LoadFigures(2, 0, 6)), basis=SelectionBasis(0.2, 1.0)
+        )
+        for _ in range(30):
+            recorder.on_success(self.context, selected, 0.3, LoadFigures(3, 0, 6))
+        expected = service_times.expected("r", 0.5)
+        ratio = self.access.of_target.latency_ratio(5.0)
+        self.assertEqual(max(expected / 0.3, ratio / 1.5) <= 1.0, is_bounded)
+
     @params(0.003, 0.0)
     def test_request_without_work(self, seconds):
         """Guards against contention read from the network time of requests without work."""
--- a/tests/test_queuewaiting.py
+++ b/tests/test_queuewaiting.py
@@ -59,6 +59,23 @@
             self.assertTrue(MIN_RETRY_AFTER_S <= reply.retry_after <= MAX_RETRY_AFTER_S)
             self.assertLess(seconds, ROUTE.target_latency)
 
+    @params((150, 0.95), (300, 0.45))
+    def test_service_times_under_load(self, per_s, share):
+        """Guards against idle slots while requests wait, as expected service times swing.
+
+        Six targets run some 160 requests of 150 ms per second. Half of 150 requests a second, and a
+        quarter of 300, were in time when each answer corrected the estimate of now.
+        """
+
+        async def scenario(fleet, node):
+            return await fleet.send_timed_requests(6, per_s)
+
+        replies = self.run_fleet(scenario, target_count=6)
+        in_time = sum(
+            reply.status == 200 and seconds <= ROUTE.target_latency for reply, seconds in replies
+        )
+        self.assertGreater(in_time / len(replies), share)
+
     def test_change_of_table(self):
         """Guards against requests that are lost as a table with tenants comes into force."""
 
