--- a/packages/core/orioleloft_core/deadlineorder.py
+++ b/packages/core/orioleloft_core/deadlineorder.py
@@ -107,8 +107,8 @@
 
     @property
     def fair_share_lag(self) -> float:
-        """Greatest difference of what waiting tenants got for their weights, in seconds of work."""
-        return self._fair_share.lag((each.priority, each.tenant) for each in self._entries.values())
+        """See `FairShare.lag`."""
+        return self._fair_share.lag(self._backlogs(list(self._entries.values())))
 
     def requests_per_s(self, now: float) -> float:
         """Returns the requests that can begin per second."""
--- a/packages/core/orioleloft_core/fairshare.py
+++ b/packages/core/orioleloft_core/fairshare.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Hashable, Iterable
+from collections.abc import Hashable, Iterable, Mapping
 
 # Half-life of the usual demand, in seconds without overload. Demand during overload is not learned,
 # as a surge would raise the share of the tenant that causes it.
@@ -228,13 +228,16 @@
                 name: tag for name, tag in tags.finish.items() if tag > tags.virtual_time
             }
 
-    def lag(self, waiting: Iterable[tuple[Hashable, str]]) -> float:
-        """Returns the greatest difference of start tags among waiting tenants of one class.
+    def lag(self, backlogs: Mapping[tuple[Hashable, str], float]) -> float:
+        """Returns by how much the tenants of one class differ in what they wait for.
+
+        This is the greatest difference of `backlog_tag`, in seconds of work for a mean weight.
 
         Args:
-            waiting: priority class and tenant of the waiting requests.
+            backlogs: waiting work by priority class and tenant, in seconds.
         """
         by_class: dict[Hashable, list[float]] = {}
-        for priority, tenant in waiting:
-            by_class.setdefault(priority, []).append(self.start_tag(priority, tenant))
+        for (priority, tenant), work in backlogs.items():
+            tag = self.backlog_tag(priority, tenant, work)
+            by_class.setdefault(priority, []).append(tag)
         return max((max(tags) - min(tags) for tags in by_class.values()), default=0.0)
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -187,7 +187,7 @@
 
     @property
     def fair_share_lag(self) -> float:
-        """Greatest difference of what waiting tenants got for their weights, in seconds of work."""
+        """Greatest difference of waiting work among tenants; see `FairShare.lag`."""
         return self._waiting.fair_share_lag
 
     def _admission_policy(self) -> AdmissionPolicy:
--- a/packages/node/orioleloftd/queuewaiting.py
+++ b/packages/node/orioleloftd/queuewaiting.py
@@ -129,7 +129,7 @@
 
     @property
     def fair_share_lag(self) -> float:
-        """Greatest difference of what waiting tenants got for their weights, in seconds of work."""
+        """Greatest difference of waiting work among tenants; see `FairShare.lag`."""
         queues = self._queues.values()
         return max(
             (queue.fair_share_lag for queue in queues if isinstance(queue, DeadlineOrder)),
--- a/tests/test_deadlineorder.py
+++ b/tests/test_deadlineorder.py
@@ -118,6 +118,7 @@
         served(order, 0.0, 10)
         for _ in range(4):
             order.admit(0.1, demand(tenant="small"), 5.0, "small")
+        self.assertGreater(order.fair_share_lag, 0.5)
         self.assertGreaterEqual(served(order, 0.1, 6).count("small"), 3)
 
     @params(*range(6))
--- a/tests/test_queuewaiting.py
+++ b/tests/test_queuewaiting.py
@@ -44,6 +44,7 @@
         async def scenario(fleet, node):
             replies = await send_burst(node, [ROUTE] * 40 + [URGENT] * 6)
             runs = sum(not each.is_probe for target in fleet.targets for each in target.arrivals)
+            self.assertEqual(node.forwarder.fair_share_lag, 0.0)
             return replies, runs, node.counts
 
         replies, runs, counts = self.run_fleet(scenario, slots=4)
