Respect targets that leave or ask for a pause

Cause: a target process that was about to stop, or that refused with 503 and Retry-After, went on to get attempts, retries, hedges and probes until the store said that it drained; callers saw its headers.

Change: core/targetavailability.py decides whether a target may be asked now, with a reason for each no (draining, leaving, paused until, rate limit, cold), by id and start of the process. Checked at candidates, probes, permits, hand-over of slots, crash checks and once more before a request is sent. Server-Leaving is told to all nodes in a LeavingReport (nodes of the previous build drop it); a pause is local. If all targets of a service pause, requests are refused at once with a Retry-After spread over the ends of the pauses. Stand-in targets can leave and pause. test_messages pins the new datagram.

--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -272,6 +272,23 @@
     delivery: Delivery = Delivery.DIRECT
 
 
+@dataclasses.dataclass(frozen=True)
+class LeavingReport:
+    """Broadcasts that a target process leaves, which nodes of the previous build drop.
+
+    Attributes:
+        state: state of the sender.
+        target_id: id of the target.
+        started_ms: start of the process, in Unix milliseconds.
+        delivery: how the datagram got to the receiver.
+    """
+
+    state: NodeState
+    target_id: str
+    started_ms: int
+    delivery: Delivery = Delivery.DIRECT
+
+
 @dataclasses.dataclass(frozen=True)
 class NodeCapacity:
     """Capacity of a node; see `nodecapacity`.
@@ -315,6 +332,7 @@
     | ContentionReport
     | RateLimitReport
     | CapacityReport
+    | LeavingReport
 )
 Datagram = Ping | PingAnswer | Introduction | Broadcast
 _CLASSES = packing.classes_of(Datagram)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -19,6 +19,7 @@
     CapacityReport,
     ContentionReport,
     Datagram,
+    LeavingReport,
     NodeState,
     RateLimitReport,
     StateVersions,
@@ -231,6 +232,7 @@
             memory=self._memory,
             report_target=self._peer_protocol.report_target,
             report_rate_limit=self._peer_protocol.report_rate_limit,
+            report_leaving=self._peer_protocol.report_leaving,
             crashes=self._crash_tracker,
             report_crashes=self._crash_dissemination.report,
             count=self._metrics.count,
@@ -396,6 +398,12 @@
         """Adopts another node's notice of the rate limit of a target."""
         self._forwarder.rate_limit_recorder.on_peer_notice(report.notice, report.state.name)
 
+    def on_leaving_report(self, report: LeavingReport) -> None:
+        """Adopts another node's report that a target process leaves."""
+        self._forwarder.availability_recorder.on_peer_report(
+            report.target_id, report.started_ms, report.state.name
+        )
+
     def recipients(self, target_id: str) -> Callable[[NodeState], bool]:
         """Returns a predicate that selects the nodes receiving requests for a target's service."""
         target = self._state.registry.get(target_id)
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -22,7 +22,9 @@
 from orioleloft_core.selection import ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
+from orioleloft_core.targetavailability import TargetAvailability
 from orioleloftd.attemptrecorder import AttemptRecorder
+from orioleloftd.availabilityrecorder import AvailabilityRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
 from orioleloftd.logs import log_event
 from orioleloftd.ratelimitrecorder import RateLimitRecorder
@@ -81,6 +83,7 @@
         memory: account that is charged for response bodies.
         report_target: reports a target to other nodes: target id, failures, latency ratio.
         report_rate_limit: reports the rate limit of a target to other nodes.
+        report_leaving: tells other nodes that a target process leaves: target id and start.
         crashes: evidence on requests that crash targets.
         report_crashes: reports such evidence to other nodes.
         count: increments a metric.
@@ -103,6 +106,7 @@
         memory: MemoryAccount,
         report_target: Callable[[str, float, float], None],
         report_rate_limit: Callable[[RateLimitNotice], None],
+        report_leaving: Callable[[str, int], None],
         crashes: CrashTracker,
         report_crashes: Callable[[tuple[CrashRecord, ...]], None],
         count: Callable[..., None],
@@ -119,7 +123,26 @@
         self._clock = clock
         self._rng = rng
         self._rate_limit_recorder = RateLimitRecorder(rate_limits, report_rate_limit, count, clock)
-        self._access = TargetAccess(wire, registry, memory, count, clock, self._rate_limit_recorder)
+        self._availability = TargetAvailability(
+            registry,
+            rate_limits,
+            slow_start_limiter,
+            lambda now, target: self._access.observations(target).is_cold(now),
+            zones,
+        )
+        self._availability_recorder = AvailabilityRecorder(
+            self._availability, report_leaving, clock
+        )
+        self._access = TargetAccess(
+            wire,
+            registry,
+            memory,
+            count,
+            clock,
+            self._rate_limit_recorder,
+            self._availability,
+            self._availability_recorder,
+        )
         self._service_times = ServiceTimes()
         self._contention = ContentionCurves()
         self._chooser = TargetChooser(
@@ -137,6 +160,7 @@
             slow_start_limiter=slow_start_limiter,
             rate_limits=rate_limits,
             probe_budget=probe_budget,
+            availability=self._availability,
             clock=clock,
             rng=rng,
         )
@@ -156,6 +180,11 @@
         """Records the rate limits that targets state and that other nodes report."""
         return self._rate_limit_recorder
 
+    @property
+    def availability_recorder(self) -> AvailabilityRecorder:
+        """Records what targets and other nodes state about the availability of targets."""
+        return self._availability_recorder
+
     @property
     def access(self) -> TargetAccess:
         """Connections to targets and observations of them."""
@@ -164,6 +193,7 @@
     def sweep(self) -> None:
         """Drops expired connections and the state of targets that are gone; called periodically."""
         self._access.sweep()
+        self._availability.sweep(self._clock())
         table = self._table()
         self._chooser.sweep(table.services if table else ())
         self._contention.retain_only(self._registry.services)
@@ -413,6 +443,7 @@
                 _log, "answer lost", request=context.request.id, target=target.id, reason=str(error)
             )
             if not error.was_request_sent:
+                selected.connection.close()
                 return _EndedAttempt(AttemptResult(AttemptEnd.NOT_SENT), target)
             if error.is_oversized:
                 self._recorder.on_failure(target, OVERSIZED_RESPONSE_WEIGHT)
@@ -453,6 +484,10 @@
         observations.in_flight += 1
         self._rate_limit_recorder.on_sent(target, "attempt")
         try:
+            # The last gate, for whatever the target has said since it was selected.
+            withdrawal = self._availability.withdrawal(started_at, target)
+            if withdrawal is not None:
+                raise ExchangeError(f"the target is {withdrawal.reason.value}", False)
             response = await connection.exchange(
                 request.method,
                 request.path,
@@ -471,6 +506,7 @@
         connection.set_idle_timeout(metadata.idle_timeout)
         kind = AnswerKind.REFUSAL if metadata.is_not_executed else AnswerKind.RESPONSE
         self._rate_limit_recorder.on_answer(target, metadata.rate_limit, kind, started_at)
+        self._availability_recorder.on_answer(target, metadata.availability)
         if not selected.candidate.is_cold and not metadata.is_not_executed:
             reported = metadata.load
             if reported is not None:
@@ -515,6 +551,9 @@
         return task
 
     async def _run_crash_check(self, request: CallerRequest, target: RegisteredTarget) -> None:
+        if self._availability.withdrawal(self._clock(), target) is not None:
+            # The process has announced that it stops, or wants no connection now.
+            return
         reason = await self._access.connection_failure(target)
         if reason is None:
             return
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -16,6 +16,7 @@
     CrashReport,
     Datagram,
     Delivery,
+    LeavingReport,
     NodeState,
     OutgoingDatagram,
     Ping,
@@ -63,6 +64,9 @@
     def on_rate_limit_report(self, report: RateLimitReport) -> None:
         """Handles a report of the rate limit of a target."""
 
+    def on_leaving_report(self, report: LeavingReport) -> None:
+        """Handles a report that a target process leaves."""
+
     def recipients(self, target_id: str) -> Callable[[NodeState], bool]:
         """Returns a predicate that selects the nodes interested in a target's reports."""
 
@@ -190,6 +194,16 @@
         """Reports the rate limit of a target to all nodes, as callers may send to any of them."""
         self._transport.send(self._fleet.broadcast(RateLimitReport(self._fleet.own_state, notice)))
 
+    def report_leaving(self, target_id: str, started_ms: int) -> None:
+        """Reports to all nodes that a target process leaves, as callers may send to any of them.
+
+        Args:
+            target_id: id of the target.
+            started_ms: start of the process, in Unix milliseconds.
+        """
+        report = LeavingReport(self._fleet.own_state, target_id, started_ms)
+        self._transport.send(self._fleet.broadcast(report))
+
     # Periodic work and incoming datagrams.
 
     def tick(self) -> None:
@@ -233,6 +247,9 @@
             case RateLimitReport():
                 self._report_receiver.on_rate_limit_report(datagram)
                 self._transport.send(self._fleet.relay(datagram))
+            case LeavingReport():
+                self._report_receiver.on_leaving_report(datagram)
+                self._transport.send(self._fleet.relay(datagram))
             case SharedStateUpdate():
                 self._on_state_update(datagram)
             case Ping(state=state) | PingAnswer(state=state):
--- a/packages/node/orioleloftd/targetaccess.py
+++ b/packages/node/orioleloftd/targetaccess.py
@@ -16,6 +16,8 @@
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
 from orioleloft_core.routes import RoutedService
 from orioleloft_core.selection import ProbedTarget
+from orioleloft_core.targetavailability import TargetAvailability
+from orioleloftd.availabilityrecorder import AvailabilityRecorder
 from orioleloftd.connections import (
     CONNECT_TIMEOUT_S,
     PROBE_RESPONSE_LIMITS,
@@ -60,6 +62,8 @@
         count: increments a metric.
         clock: seconds on the node's clock.
         rate_limits: records the rate limits that the targets state.
+        availability: decides whether a target may be asked.
+        availability_recorder: records what the targets state about it.
     """
 
     def __init__(
@@ -70,6 +74,8 @@
         count: Callable[..., None],
         clock: Callable[[], float],
         rate_limits: RateLimitRecorder,
+        availability: TargetAvailability,
+        availability_recorder: AvailabilityRecorder,
     ) -> None:
         self._wire = wire
         self._registry = registry
@@ -79,6 +85,8 @@
         self._memory = memory
         self._accept_delays = AcceptDelays()
         self._rate_limits = rate_limits
+        self._availability = availability
+        self._availability_recorder = availability_recorder
         self._pool = ConnectionPool(clock, lambda: count("target_connections"), memory)
 
     def observations(self, target: RegisteredTarget) -> TargetObservations:
@@ -138,6 +146,8 @@
         self, target: RegisteredTarget, service: RoutedService, has_permit: bool
     ) -> tuple[ProbedTarget, Connection] | None:
         observations = self.observations(target)
+        if self._availability.withdrawal(self._clock(), target) is not None:
+            return None
         self._count("probes")
         observations.open_probes += 1
         try:
@@ -146,7 +156,9 @@
                 connection = await self._acquire(target)
                 connected_at = self._clock()
                 is_new = connection.is_unused
-                if self._rate_limits.is_limited(target) and not has_permit:
+                if self._availability.withdrawal(connected_at, target) is not None or (
+                    self._rate_limits.is_limited(target) and not has_permit
+                ):
                     self.release(target, connection)
                     return None
                 self._rate_limits.on_sent(target, "probe")
@@ -178,6 +190,7 @@
             # Connecting takes one round trip, and so does the exchange beside the target's work.
             accept_delay = (now - connected_at) - (connected_at - started_at)
         load = self.record_load(target, metadata.load, accept_delay)
+        self._availability_recorder.on_answer(target, metadata.availability)
         if metadata.target_id == target.id:
             observations.on_cold(now, metadata.cold_seconds)
             self._rate_limits.on_answer(target, metadata.rate_limit, AnswerKind.PROBE, connected_at)
@@ -198,7 +211,7 @@
             else:
                 connection.close()
             return None
-        if not connection.is_usable:
+        if self._availability.withdrawal(now, target) is not None or not connection.is_usable:
             connection.close()
             return None
         connection.set_idle_timeout(metadata.idle_timeout)
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -16,6 +16,7 @@
 from orioleloft_core.selection import FIRST_ROUND_PROBES, ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
+from orioleloft_core.targetavailability import TargetAvailability
 from orioleloftd.connections import Connection
 from orioleloftd.logs import log_event
 from orioleloftd.requestcontext import Rejection, RequestContext, SelectedTarget
@@ -34,7 +35,12 @@
 # Longest queue wait of a request that its caller retries, in seconds. Its response is late in any
 # case, and a caller that waits in vain retries later.
 MAX_CALLER_RETRY_WAIT_S = 0.4
-# Maximum number of targets with rate limits in one log line.
+# Least time over which callers return that are refused because all targets pause, in seconds.
+MIN_RETURN_SPREAD_S = 1.0
+# Longest time after which such a caller is told to return, in seconds: targets that are added
+# meanwhile have room sooner.
+MAX_ADVISED_PAUSE_S = 60.0
+# Maximum number of targets with rate limits, and of paused or leaving ones, in one log line.
 MAX_LOGGED_TARGETS = 20
 # A request is not dispatched with less time than this to its deadline, in seconds.
 MIN_TIME_TO_DEADLINE_S = 0.03
@@ -84,6 +90,7 @@
         slow_start_limiter: rate limit for requests to cold targets.
         rate_limits: rate limits that targets state, and the permits of this node for them.
         probe_budget: token bucket for the probes of this node.
+        availability: decides whether a target may be asked.
         clock: seconds on the node's clock.
         rng: source of the times at which rejected callers return.
     """
@@ -99,6 +106,7 @@
         slow_start_limiter: SlowStartLimiter,
         rate_limits: RateLimits,
         probe_budget: TokenBucket,
+        availability: TargetAvailability,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -110,6 +118,8 @@
         self._slow_start_limiter = slow_start_limiter
         self._rate_limits = rate_limits
         self._probe_budget = probe_budget
+        self._availability = availability
+        self._rng = rng
         self._clock = clock
         self._permits = PermitScheduler(rate_limits, access.observations, zones, rng)
         self._queues: dict[str, AdmissionQueue] = {}
@@ -133,7 +143,12 @@
 
     def _probe_with_idle_permits(self, service: RoutedService) -> None:
         """Probes the targets for which this node has had a permit and no request for some time."""
-        targets = self._registry.eligible_targets(service.name)
+        now = self._clock()
+        targets = [
+            target
+            for target in self._registry.eligible_targets(service.name)
+            if self._availability.withdrawal(now, target) is None
+        ]
         for target in self._permits.take_idle(self._clock(), targets):
             task = self._start_probe(target, service, has_permit=True)
             task.add_done_callback(self._access.release_late_probe)
@@ -146,6 +161,9 @@
             the queue is too long, no target became free in time, or none gets a permit in time.
         """
         queue = self._queues.setdefault(context.service.name, AdmissionQueue())
+        rejection = self._reject_while_paused(context, queue, self._clock())
+        if rejection is not None:
+            return rejection
         selected = None
         if not queue.must_queue(context.rank):
             selected = await self._select_target(context)
@@ -178,12 +196,29 @@
         return self._permits.can_wait(now, self._untried_targets(context), ahead, wait_deadline)
 
     def _untried_targets(self, context: RequestContext) -> list[RegisteredTarget]:
+        now = self._clock()
         return [
             target
             for target in self._registry.eligible_targets(context.service.name)
             if target.id not in context.tried_target_ids
+            and self._availability.withdrawal(now, target) is None
         ]
 
+    def _reject_while_paused(
+        self, context: RequestContext, queue: AdmissionQueue, since: float
+    ) -> Rejection | None:
+        """Rejects a request if all targets of its service have asked for a pause, else None."""
+        now = self._clock()
+        targets = self._registry.eligible_targets(context.service.name)
+        ends = self._availability.pause_ends(now, targets)
+        if ends is None:
+            return None
+        reason = "all targets have asked for a pause"
+        self._log_no_target(context, queue, since, reason)
+        first, last = ends
+        retry_after = self._rng.uniform(first, max(last, first + MIN_RETURN_SPREAD_S)) - now
+        return Rejection(ErrorCode.NO_CAPACITY, reason, min(MAX_ADVISED_PAUSE_S, retry_after))
+
     def _reject_without_permit(
         self, context: RequestContext, queue: AdmissionQueue, now: float, since: float
     ) -> Rejection:
@@ -209,6 +244,7 @@
             offers={candidate.target.id: candidate.load for candidate in context.candidates},
             cold=[candidate.target.id for candidate in context.candidates if candidate.is_cold],
             limited=self._limited_target_ids(context.service.name),
+            withdrawn=self._withdrawn_targets(context.service.name),
             targets=self._registry.target_list.version.revision,
         )
 
@@ -217,6 +253,15 @@
         limited = [target.id for target in targets if self._rate_limits.is_limited(target)]
         return limited[:MAX_LOGGED_TARGETS]
 
+    def _withdrawn_targets(self, service: str) -> dict[str, str]:
+        now = self._clock()
+        found = {
+            target.id: self._availability.withdrawal(now, target)
+            for target in self._registry.eligible_targets(service)
+        }
+        reasons = [(name, why.reason.value) for name, why in found.items() if why is not None]
+        return dict(reasons[:MAX_LOGGED_TARGETS])
+
     def _max_wait(self, context: RequestContext, now: float) -> float:
         """Returns the longest useful time in the queue, in seconds."""
         service_time = self._service_times.expected(
@@ -267,6 +312,9 @@
             if selected is not None:
                 return selected
             now = self._clock()
+            rejection = self._reject_while_paused(context, queue, since)
+            if rejection is not None:
+                return rejection
             if not self._can_wait(context, queue.position(waiter), now, waiter.wait_deadline):
                 return self._reject_without_permit(context, queue, now, since)
 
@@ -314,11 +362,9 @@
 
         Not if the target has become cold since, so that slow start holds for the request.
         """
-        return (
-            self._registry.is_eligible(target)
-            and not self._rate_limits.is_limited(target)
-            and not self._access.observations(target).is_cold(now)
-        )
+        return self._availability.unavailability(
+            now, target
+        ) is None and not self._access.observations(target).is_cold(now)
 
     async def _select_target(self, context: RequestContext) -> SelectedTarget | None:
         """Selects a target for which this node holds a permit, or else one without a rate limit.
@@ -342,7 +388,10 @@
         candidates = [
             candidate
             for candidate in self._permits.candidates(now, self._untried_targets(context))
-            if self._is_probe_allowed(now, context, candidate.target)
+            if self._availability.unavailability(
+                now, candidate.target, context.service.cold_per_s, has_permit=True
+            )
+            is None
             and self._is_response_in_time(context, candidate, now, service_time)
         ]
         best = self._selector.best(now, candidates, service_time, context.route.target_latency)
@@ -354,7 +403,7 @@
             return None
         now = self._clock()
         if (
-            not self._registry.is_eligible(best.target)
+            self._availability.unavailability(now, best.target, has_permit=True) is not None
             or context.deadline - now < MIN_TIME_TO_DEADLINE_S
         ):
             self._access.release(best.target, connection)
@@ -366,7 +415,9 @@
     ) -> SelectedTarget | None:
         """Probes candidates and returns the best one that can start the request at once, or None.
 
-        Targets with rate limits are neither probed nor selected.
+        Targets with rate limits are neither probed nor selected, and neither are cold ones that
+        this node may not use: after a zone has recovered, most of its targets are cold, and their
+        probes would displace those of other candidates.
 
         Args:
             context: the request.
@@ -377,8 +428,7 @@
         eligible_targets = [
             target
             for target in self._untried_targets(context)
-            if not self._rate_limits.is_limited(target)
-            and self._is_probe_allowed(now, context, target)
+            if self._availability.unavailability(now, target, context.service.cold_per_s) is None
         ]
         ranked = self._selector.candidates(now, eligible_targets)
         probes: dict[asyncio.Task, RegisteredTarget] = {}
@@ -456,8 +506,7 @@
             candidate
             for candidate, connection in responsive.items()
             if connection.is_usable
-            and self._registry.is_eligible(candidate.target)
-            and not self._rate_limits.is_limited(candidate.target)
+            and self._availability.unavailability(now, candidate.target) is None
             and self._selector.has_free_slot(now, candidate)
             and self._is_response_acceptable(
                 context, candidate, now, service_time, accepts_late_response
@@ -516,20 +565,6 @@
             self._slow_start_limiter.on_not_sent(target.id)
         self._access.release(target, selected.connection)
 
-    def _is_probe_allowed(
-        self, now: float, context: RequestContext, target: RegisteredTarget
-    ) -> bool:
-        """Whether a target is worth a probe: it is warm, or this node may send to it while cold.
-
-        After a zone has recovered, most of its targets are cold. Probes of cold targets that this
-        node may not use would displace probes of other candidates.
-        """
-        if not self._access.observations(target).is_cold(now):
-            return True
-        return self._slow_start_limiter.may_send(
-            now, target, context.service.cold_per_s, self._zones()
-        )
-
     def _is_dispatch_allowed(
         self, now: float, context: RequestContext, candidate: ProbedTarget
     ) -> bool:
--- a/packages/node/orioleloftd/wire.py
+++ b/packages/node/orioleloftd/wire.py
@@ -10,6 +10,7 @@
 
 from orioleloft_core.observations import LoadFigures
 from orioleloft_core.ratelimits import RateLimitStatement
+from orioleloft_core.targetavailability import AnswerStatement
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +40,7 @@
         has_identity_encoding: whether the body has no content encoding, as requested.
         idle_timeout: time after which the target closes an idle connection, in seconds, or None.
         rate_limit: what the response states on the target's rate limit.
+        availability: what it states on whether the target takes further requests.
     """
 
     request_id: str
@@ -50,6 +52,7 @@
     has_identity_encoding: bool
     idle_timeout: float | None
     rate_limit: RateLimitStatement
+    availability: AnswerStatement
 
 
 class WireFormat(Protocol):
--- a/standins/memoryfleet.py
+++ b/standins/memoryfleet.py
@@ -177,6 +177,7 @@
             slow_start_limiter=SlowStartLimiter(name, 1.5, 5.0),
             rate_limits=self.rate_limits,
             report_rate_limit=lambda notice: report_rate_limit(name, notice),
+            report_leaving=lambda *_: None,
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=self.memory,
             report_target=lambda *_: None,
--- a/standins/target.py
+++ b/standins/target.py
@@ -53,6 +53,9 @@
         lost_share: share of requests that run and whose connection is closed without a response.
         stale_share: share of successes that are immediately followed by a duplicate.
         reports_load: whether answers state the load.
+        leaves: whether answers state that the process leaves.
+        pause: time in seconds for which probes and requests are refused with 503; an empty text
+            refuses none.
         late_share: share of successes that are followed by a duplicate after a delay of up to
             `MAX_DUPLICATE_DELAY_S`, when the next response on the connection may be due.
         repeated_refusal_share: share of refusals that are written again after such a delay.
@@ -79,6 +82,8 @@
     crashing_path: str = ""
     rate_limit: str = ""
     reports_load: bool = True
+    leaves: bool = False
+    pause: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -190,14 +195,19 @@
         if request.path == HEALTH_PATH:
             self.probes += 1
             cold = {wire.COLD_MS: str(self.cold_remaining_ms)} if self.cold_remaining_ms else {}
-            status = 503 if self.is_draining else 200
+            status = 503 if self.is_draining or self.behaviour.pause else 200
             _write_response(
-                request, status, self._load_headers() | cold | {wire.RESPONDING_TARGET: self.name}
+                request,
+                status,
+                self._load_headers()
+                | self._pause_header()
+                | cold
+                | {wire.RESPONDING_TARGET: self.name},
             )
             return
         request_id = request.headers.get(wire.REQUEST_ID, "")
         id_header = {wire.REQUEST_ID: request_id}
-        if self.waiting >= self.behaviour.queue and self._slots.locked():
+        if self.behaviour.pause or (self.waiting >= self.behaviour.queue and self._slots.locked()):
             self.refused_count += 1
             self._refuse(request, id_header)
             return
@@ -222,7 +232,8 @@
             self._slots.release()
 
     def _refuse(self, request: httputil.HTTPServerRequest, id_header: dict[str, str]) -> None:
-        headers = self._load_headers() | id_header | {wire.NOT_EXECUTED: "1"}
+        headers = self._load_headers() | self._pause_header() | id_header
+        headers[wire.NOT_EXECUTED] = "1"
         _write_response(request, 503, headers)
         if self._rng.random() < self.behaviour.repeated_refusal_share:
             self._write_later(request.connection.stream, _encode(503, headers))
@@ -266,9 +277,15 @@
         if self._rng.random() < behaviour.late_share:
             self._write_later(stream, duplicate)
 
+    def _pause_header(self) -> dict[str, str]:
+        pause = self.behaviour.pause
+        return {wire.RETRY_AFTER: pause} if pause else {}
+
     def _load_headers(self) -> dict[str, str]:
         limit = self.behaviour.rate_limit
         limit_header = {wire.RATE_LIMIT: limit} if limit else {}
+        if self.behaviour.leaves:
+            limit_header[wire.LEAVING] = "1"
         if not self.behaviour.reports_load:
             return limit_header
         pace = round(self.behaviour.pace * 100)
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -68,6 +68,7 @@
             budget=RetryBudget(0.2, 58, 10.0, lambda: 3),
             rate_limits=RateLimits("n0", dict, lambda: 1),
             report_rate_limit=lambda notice: None,
+            report_leaving=lambda *_: None,
             slow_start_limiter=SlowStartLimiter("n0", 1.5, 5.0),
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=self.memory,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -65,6 +65,7 @@
         self.reports = []
         self.crashes = CrashTracker()
         self.crash_reports = []
+        self.leaving = []
         self.forwarder = Forwarder(
             wire=PlatformHeaders(),
             table=lambda: self.table,
@@ -74,6 +75,7 @@
             budget=RetryBudget(0.2, 58, 10.0, lambda: 3),
             rate_limits=RateLimits("n0", dict, lambda: 1),
             report_rate_limit=lambda notice: None,
+            report_leaving=lambda *process: self.leaving.append(process),
             slow_start_limiter=SlowStartLimiter(name, 1.5, 5.0),
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=MemoryAccount(1_000_000),
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -63,6 +63,7 @@
         ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
         ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
         ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
+        ["LeavingReport", STATE, "t1", 12, 0],
         ["CapacityReport", STATE, [["n1", 88.8]], ["n2", "n3"], 0],
     )
     def test_datagrams(self, values):
@@ -120,6 +121,7 @@
                 "CrashReport": messages.CrashReport,
                 "ContentionReport": messages.ContentionReport,
                 "RateLimitReport": messages.RateLimitReport,
+                "LeavingReport": messages.LeavingReport,
                 "CapacityReport": messages.CapacityReport,
             },
         )
