Round capacities of nodes down

Cause: rounded to the nearest step, 0.3 of a core was stated as 0.26 of the strongest node, whose usable cores are 1.25, and so was no weak one.

Change: capacities are rounded down to powers of 1.25.

--- a/packages/core/orioleloft_core/nodecapacity.py
+++ b/packages/core/orioleloft_core/nodecapacity.py
@@ -21,8 +21,9 @@
 # it for a second.
 BODY_MEMORY_FRACTION = 0.25
 BODY_BYTES_PER_REQUEST = 64 * 1024
-# Capacities are rounded to powers of this factor, so that a node announces no change of less than
-# about a quarter, and VMs of one kind are equal.
+# Capacities are rounded down to powers of this factor, so that a node announces no change of less
+# than a quarter, and VMs of one kind are equal. Rounding to the nearest power stated 0.3 of a core
+# as more than a quarter of the strongest node.
 STEP_FACTOR = 1.25
 # Ratio of the capacities in a zone up to which its nodes count as equal.
 MAX_EQUAL_RATIO = 1.5
@@ -53,7 +54,7 @@
     if link_mbps is not None:
         bounds.append(link_mbps * 1e6 / 8 / LINK_BYTES_PER_REQUEST)
     least = min(MAX_CAPACITY, max(MIN_CAPACITY, min(bounds)))
-    return round(STEP_FACTOR ** round(math.log(least, STEP_FACTOR)), 3)
+    return round(STEP_FACTOR ** math.floor(math.log(least, STEP_FACTOR)), 3)
 
 
 def is_valid(capacity: float) -> bool:
