--- a/packages/node/orioleloftd/queuewaiting.py
+++ b/packages/node/orioleloftd/queuewaiting.py
@@ -21,6 +21,7 @@
 from orioleloft_core.registry import TargetRegistry
 from orioleloft_core.selection import ProbedTarget
 from orioleloft_core.servicetime import ServiceTimes
+from orioleloft_core.targetavailability import TargetAvailability
 from orioleloftd.connections import Connection
 from orioleloftd.logs import log_event
 from orioleloftd.requestcontext import Rejection, RequestContext, SelectedTarget
@@ -38,7 +39,12 @@
 MAX_CALLER_RETRY_WAIT_S = 0.4
 # Greatest priority with a label of its own in the metrics; others share one.
 MAX_PRIORITY_LABEL = 9
-# Maximum number of targets with rate limits in one log line.
+# Least time over which callers return that are refused because all targets pause, in seconds.
+MIN_RETURN_SPREAD_S = 1.0
+# Longest time after which such a caller is told to return, in seconds: targets that are added
+# meanwhile have room sooner.
+MAX_ADVISED_PAUSE_S = 60.0
+# Maximum number of targets with rate limits, and of paused or leaving ones, in one log line.
 MAX_LOGGED_TARGETS = 20
 
 _log = logging.getLogger(__name__)
@@ -94,6 +100,7 @@
         service_times: expected service times per route.
         rate_limits: rate limits that targets state.
         permits: use of the permits of this node for targets with rate limits.
+        availability: tells which targets leave or pause.
         policy: returns the order of admission in force.
         count: increments a metric.
         clock: seconds on the node's clock.
@@ -109,6 +116,7 @@
         service_times: ServiceTimes,
         rate_limits: RateLimits,
         permits: PermitScheduler,
+        availability: TargetAvailability,
         policy: Callable[[], AdmissionPolicy],
         count: Callable[..., None],
         clock: Callable[[], float],
@@ -120,6 +128,7 @@
         self._service_times = service_times
         self._rate_limits = rate_limits
         self._permits = permits
+        self._availability = availability
         self._policy = policy
         self._count = count
         self._clock = clock
@@ -198,6 +207,9 @@
         service = context.service.name
         queue, demand, now = self._queue(service), self._demand(context), self._clock()
         self._on_asked(queue, service, demand, now)
+        rejection = self._reject_while_paused(context, demand, now)
+        if rejection is not None:
+            return rejection
         selected = None
         if not queue.must_queue(now, demand):
             selected = await self._chooser.select_target(context)
@@ -284,6 +296,23 @@
             now, self._chooser.untried_targets(context), ahead, wait_deadline
         )
 
+    def _reject_while_paused(
+        self, context: RequestContext, demand: RequestDemand, since: float
+    ) -> Rejection | None:
+        """Rejects a request if all targets of its service have asked for a pause, else None."""
+        service, now = context.service.name, self._clock()
+        ends = self._availability.pause_ends(now, self._registry.eligible_targets(service))
+        if ends is None:
+            return None
+        reason = "all targets have asked for a pause"
+        queue = self._queue(service)
+        self._log_no_target(context, queue, demand, since, reason)
+        if queue.policy is AdmissionPolicy.DEADLINE:
+            self._count("admission_refusals", reason="pause")
+        first, last = ends
+        retry_after = self._rng.uniform(first, max(last, first + MIN_RETURN_SPREAD_S)) - now
+        return Rejection(ErrorCode.NO_CAPACITY, reason, min(MAX_ADVISED_PAUSE_S, retry_after))
+
     def _reject_without_permit(
         self, context: RequestContext, demand: RequestDemand, since: float
     ) -> Rejection:
@@ -317,6 +346,7 @@
             offers={candidate.target.id: candidate.load for candidate in context.candidates},
             cold=[candidate.target.id for candidate in context.candidates if candidate.is_cold],
             limited=self._limited_target_ids(context.service.name),
+            withdrawn=self._withdrawn_targets(context.service.name),
             targets=self._registry.target_list.version.revision,
             **queue.describe(self._clock(), demand),
         )
@@ -326,6 +356,15 @@
         limited = [target.id for target in targets if self._rate_limits.is_limited(target)]
         return limited[:MAX_LOGGED_TARGETS]
 
+    def _withdrawn_targets(self, service: str) -> dict[str, str]:
+        now = self._clock()
+        found = {
+            target.id: self._availability.withdrawal(now, target)
+            for target in self._registry.eligible_targets(service)
+        }
+        reasons = [(name, why.reason.value) for name, why in found.items() if why is not None]
+        return dict(reasons[:MAX_LOGGED_TARGETS])
+
     def _max_wait(self, context: RequestContext, now: float) -> float:
         """Returns the longest useful time in the queue, in seconds."""
         service_time = self._service_times.expected(
@@ -383,6 +422,9 @@
                     self._queue(service).on_no_free_target()
             if selected is not None:
                 return selected
+            rejection = self._reject_while_paused(context, demand, since)
+            if rejection is not None:
+                return rejection
             now = self._clock()
             ahead = self._queue(service).position(waiter)
             if not self._can_wait(context, ahead, now, waiter.wait_deadline):
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -11,6 +11,7 @@
 from orioleloft_core.selection import FIRST_ROUND_PROBES, ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
+from orioleloft_core.targetavailability import TargetAvailability
 from orioleloftd.connections import Connection
 from orioleloftd.requestcontext import RequestContext, SelectedTarget, SelectionBasis
 from orioleloftd.targetaccess import PROBE_WAIT_S, TargetAccess, result_or_none
@@ -36,6 +37,7 @@
         rate_limits: rate limits that targets state.
         permits: use of the permits of this node for targets with rate limits.
         probe_budget: token bucket for the probes of this node.
+        availability: decides whether a target may be asked.
         clock: seconds on the node's clock.
     """
 
@@ -51,6 +53,7 @@
         rate_limits: RateLimits,
         permits: PermitScheduler,
         probe_budget: TokenBucket,
+        availability: TargetAvailability,
         clock: Callable[[], float],
     ) -> None:
         self._access = access
@@ -61,6 +64,7 @@
         self._slow_start_limiter = slow_start_limiter
         self._rate_limits = rate_limits
         self._probe_budget = probe_budget
+        self._availability = availability
         self._clock = clock
         self._permits = permits
         self._probe_tasks: set[asyncio.Task] = set()
@@ -79,32 +83,40 @@
 
     def _probe_with_idle_permits(self, service: RoutedService) -> None:
         """Probes the targets for which this node has had a permit and no request for some time."""
-        targets = self._registry.eligible_targets(service.name)
+        now = self._clock()
+        targets = [
+            target
+            for target in self._registry.eligible_targets(service.name)
+            if self._availability.withdrawal(now, target) is None
+        ]
         for target in self._permits.take_idle(self._clock(), targets):
             task = self._start_probe(target, service, has_permit=True)
             task.add_done_callback(self._access.release_late_probe)
 
     def untried_targets(self, context: RequestContext) -> list[RegisteredTarget]:
         """Returns the eligible targets to which a request has not been sent yet."""
+        now = self._clock()
         return [
             target
             for target in self._registry.eligible_targets(context.service.name)
             if target.id not in context.tried_target_ids
+            and self._availability.withdrawal(now, target) is None
         ]
 
     def can_hand_over(self, candidate: ProbedTarget, connection: Connection) -> bool:
-        """Whether a target on which a request has just ended can take one from the queue.
+        """Whether a target on which a request has just ended can take one from the queue."""
+        now = self._clock()
+        is_free = self._selector.has_free_slot(now, candidate) and connection.is_usable
+        return is_free and self._may_hand_over(now, candidate.target)
+
+    def _may_hand_over(self, now: float, target: RegisteredTarget) -> bool:
+        """Whether a request may take over a slot of a target that another one has freed.
 
         Not if the target has become cold since, so that slow start holds for the request.
         """
-        now, target = self._clock(), candidate.target
-        is_free = self._selector.has_free_slot(now, candidate) and connection.is_usable
-        return (
-            is_free
-            and self._registry.is_eligible(target)
-            and not self._rate_limits.is_limited(target)
-            and not self._access.observations(target).is_cold(now)
-        )
+        return self._availability.unavailability(
+            now, target
+        ) is None and not self._access.observations(target).is_cold(now)
 
     def accept_handover(
         self, context: RequestContext, candidate: ProbedTarget, connection: Connection
@@ -152,7 +164,10 @@
         candidates = [
             candidate
             for candidate in self._permits.candidates(now, self.untried_targets(context))
-            if self._is_probe_allowed(now, context, candidate.target)
+            if self._availability.unavailability(
+                now, candidate.target, context.service.cold_per_s, has_permit=True
+            )
+            is None
             and self._is_response_in_time(context, candidate, now, service_time)
         ]
         best = self._selector.best(now, candidates, service_time, context.route.target_latency)
@@ -164,7 +179,7 @@
             return None
         now = self._clock()
         if (
-            not self._registry.is_eligible(best.target)
+            self._availability.unavailability(now, best.target, has_permit=True) is not None
             or context.deadline - now < MIN_TIME_TO_DEADLINE_S
         ):
             self._access.release(best.target, connection)
@@ -176,7 +191,9 @@
     ) -> SelectedTarget | None:
         """Probes candidates and returns the best one that can start the request at once, or None.
 
-        Targets with rate limits are neither probed nor selected.
+        Targets with rate limits are neither probed nor selected, and neither are cold ones that
+        this node may not use: after a zone has recovered, most of its targets are cold, and their
+        probes would displace those of other candidates.
 
         Args:
             context: the request.
@@ -187,8 +204,7 @@
         eligible_targets = [
             target
             for target in self.untried_targets(context)
-            if not self._rate_limits.is_limited(target)
-            and self._is_probe_allowed(now, context, target)
+            if self._availability.unavailability(now, target, context.service.cold_per_s) is None
         ]
         ranked = self._selector.candidates(now, eligible_targets)
         probes: dict[asyncio.Task, RegisteredTarget] = {}
@@ -266,8 +282,7 @@
             candidate
             for candidate, connection in responsive.items()
             if connection.is_usable
-            and self._registry.is_eligible(candidate.target)
-            and not self._rate_limits.is_limited(candidate.target)
+            and self._availability.unavailability(now, candidate.target) is None
             and self._selector.has_free_slot(now, candidate)
             and self._is_response_acceptable(
                 context, candidate, now, service_time, accepts_late_response
@@ -328,20 +343,6 @@
             self._slow_start_limiter.on_not_sent(target.id)
         self._access.release(target, selected.connection)
 
-    def _is_probe_allowed(
-        self, now: float, context: RequestContext, target: RegisteredTarget
-    ) -> bool:
-        """Whether a target is worth a probe: it is warm, or this node may send to it while cold.
-
-        After a zone has recovered, most of its targets are cold. Probes of cold targets that this
-        node may not use would displace probes of other candidates.
-        """
-        if not self._access.observations(target).is_cold(now):
-            return True
-        return self._slow_start_limiter.may_send(
-            now, target, context.service.cold_per_s, self._zones()
-        )
-
     def _is_dispatch_allowed(
         self, now: float, context: RequestContext, candidate: ProbedTarget
     ) -> bool:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -66,6 +66,7 @@
         self.reports = []
         self.crashes = CrashTracker()
         self.crash_reports = []
+        self.leaving = []
         self.forwarder = Forwarder(
             wire=PlatformHeaders(),
             table=lambda: self.table,
@@ -75,6 +76,7 @@
             budget=RetryBudget(0.2, 58, 10.0, lambda: 3),
             rate_limits=RateLimits("n0", dict, lambda: 1),
             report_rate_limit=lambda notice: None,
+            report_leaving=lambda *process: self.leaving.append(process),
             slow_start_limiter=SlowStartLimiter(name, 1.5, 5.0),
             probe_budget=TokenBucket(lambda: 1000, lambda: 1000),
             memory=MemoryAccount(1_000_000),
@@ -358,7 +360,7 @@
         self.start(Behaviour(slots=1), nodes=names, name="other")
         route = make_route(latency=0.2)
         sending = [asyncio.create_task(self.send(route)) for _ in range(3)]
-        while not self.runs or len(self.forwarder._chooser._queues["s"]) < 2:
+        while not self.runs or len(self.forwarder._waiting._queues.get("s", ())) < 2:
             await asyncio.sleep(0.001)
         # A probe for another request finds the target cold.
         observations = self.forwarder.access.observations_by_id("t0")
--- a/tests/test_queuewaiting.py
+++ b/tests/test_queuewaiting.py
@@ -11,6 +11,7 @@
 from orioleloft_core.errors import ErrorCode
 from orioleloft_core.refusalreturns import MAX_RETRY_AFTER_S, MIN_RETRY_AFTER_S
 from orioleloft_core.routes import Tenant
+from orioleloft_core.tenants import UNRESTRICTED, Authorized
 from orioleloftd.requestcontext import CallerRequest, RequestContext
 from standins.memoryfleet import ROUTE, SERVICE, MemoryFleet
 from standins.virtualtime import run_in_virtual_time
@@ -82,10 +83,14 @@
 
         async def scenario(fleet, node):
             node.forwarder._admission = AdmissionPolicy.ARRIVAL
-            tables = [node.table, dataclasses.replace(node.table, tenants=(TENANT,))]
+            # The requests have no key.
+            public_route = dataclasses.replace(ROUTE, is_public=True)
+            without_tenants = dataclasses.replace(node.table, routes=(public_route,))
+            tables = [without_tenants, dataclasses.replace(without_tenants, tenants=(TENANT,))]
+            node.table = without_tenants
             tasks = []
             for index in range(60):
-                tasks.append(asyncio.ensure_future(node.send()))
+                tasks.append(asyncio.ensure_future(node.send(public_route)))
                 await asyncio.sleep(0.01)
                 node.table = tables[index // 10 % 2]
             return await asyncio.gather(*tasks), node.counts
@@ -105,8 +110,8 @@
 
         async def scenario(fleet, node):
             request = CallerRequest("j", "GET", "a", "/x", httputil.HTTPHeaders(), b"", 0.0, 3.0)
-            context = RequestContext(request, ROUTE, SERVICE, 3.0)
-            context.tenant = tenant
+            authorization = UNRESTRICTED if tenant is None else Authorized(tenant)
+            context = RequestContext(request, ROUTE, SERVICE, 3.0, authorization=authorization)
             return node.forwarder._waiting._demand(context)
 
         demand = self.run_fleet(scenario)
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -251,8 +251,8 @@
             return handle_result(context, ended)
 
         self.harness.forwarder._handle_result = handle
-        chooser = self.harness.forwarder._chooser
-        chooser.acquire_target = mock.AsyncMock(wraps=chooser.acquire_target)
+        waiting = self.harness.forwarder._waiting
+        waiting.acquire_target = mock.AsyncMock(wraps=waiting.acquire_target)
         for target in self.harness.targets:
             match first_end:
                 case "refused":
@@ -264,7 +264,7 @@
         reply = await self.send(KEY_A)
         self.assertEqual((reply.status, reply.code), (status, code))
         # A denied retry neither probes targets nor waits in the queue.
-        self.assertEqual(chooser.acquire_target.call_count, 1 + (status == 200))
+        self.assertEqual(waiting.acquire_target.call_count, 1 + (status == 200))
         expected = {"refused": [], "lost": [{"X-Tenant": "a"}], "error": [{"X-Tenant": "a"}]}
         self.assertEqual(
             self.identities, expected[first_end] + [{"X-Tenant": "c"}] * (status == 200)
@@ -292,7 +292,7 @@
         )
         forwarder = self.harness.forwarder
         context = dataclasses.replace(self.harness.make_context(), request=request)
-        selected = await forwarder._chooser.acquire_target(context)
+        selected = await forwarder._waiting.acquire_target(context)
         forwarder._chooser.release_unused = mock.Mock()
         self.harness.table = table
         running = {}
