Decide roll-outs of target versions in the nodes

Cause: targets of a new version got requests like all others as soon as they had registered. Nothing held a version back, limited it to a share, or noticed that it fails or is slow.

Change: rollouts.py has the orders, a gate that admits versions (share by a credit counter, no burst) and the decider's steps (rollouts.json); rolloutevidence.py counts by route and target and has the sequential test; rolloutcontrol.py reports, decides and writes the status by condition; rolloutsync.py watches the orders. The gate filters candidates, handed-over slots and queued requests in the chooser. Two new datagrams; nothing is sent and no version is decoded without the contract `rollout`.

--- a/packages/core/orioleloft_core/messages.py
+++ b/packages/core/orioleloft_core/messages.py
@@ -14,6 +14,8 @@
 from orioleloft_core.crashes import CrashRecord
 from orioleloft_core.ratelimits import RateLimitNotice
 from orioleloft_core.registry import StateVersion
+from orioleloft_core.rolloutevidence import EvidenceRow
+from orioleloft_core.rollouts import Directive
 from orioleloft_core.updates import StateUpdate
 
 
@@ -271,6 +273,50 @@
     delivery: Delivery = Delivery.DIRECT
 
 
+@dataclasses.dataclass(frozen=True)
+class RolloutEvidence:
+    """Broadcasts what the sender has counted under an order to move a service to a version.
+
+    Attributes:
+        state: state of the sender.
+        service: name of the service.
+        order: key of the order.
+        elapsed_ms: time since the sender or another node has seen the order, in milliseconds.
+        old_requests: requests of the sender that run at targets of other versions.
+        is_switched: whether the sender sends all new requests to the ordered version.
+        rows: cumulative counts of the sender, those that have changed.
+        delivery: how the datagram got to the receiver.
+    """
+
+    state: NodeState
+    service: str
+    order: str
+    elapsed_ms: int
+    old_requests: int
+    is_switched: bool
+    rows: tuple[EvidenceRow, ...]
+    delivery: Delivery = Delivery.DIRECT
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutDirective:
+    """Broadcasts what all nodes should do about an order.
+
+    Attributes:
+        state: state of the sender.
+        service: name of the service.
+        directive: what to do.
+        elapsed_ms: see `RolloutEvidence`.
+        delivery: how the datagram got to the receiver.
+    """
+
+    state: NodeState
+    service: str
+    directive: Directive
+    elapsed_ms: int
+    delivery: Delivery = Delivery.DIRECT
+
+
 # Datagrams that are disseminated through relays.
 Broadcast = (
     Announcement
@@ -280,6 +326,8 @@
     | CrashReport
     | ContentionReport
     | RateLimitReport
+    | RolloutEvidence
+    | RolloutDirective
 )
 Datagram = Ping | PingAnswer | Introduction | Broadcast
 _CLASSES = packing.classes_of(Datagram)
--- a/packages/core/orioleloft_core/updates.py
+++ b/packages/core/orioleloft_core/updates.py
@@ -10,6 +10,7 @@
 from typing import Any, ClassVar
 
 from orioleloft_core.registry import ClosedZones, RegisteredTarget, StateVersion, TargetList
+from orioleloft_core.rollouts import Rollouts
 from orioleloft_core.routes import CallerLimits, Route, RoutedService, RouteTable, Tenant
 
 # Versions that deltas can start from. Operators publish up to three versions a second, so 16 reach
@@ -75,11 +76,15 @@
         table: snapshot or delta of the route table.
         targets: snapshot or delta of the target list.
         closed_zones: the closed availability zones, always as a snapshot.
+        rollouts: the orders to move services to versions, always as a snapshot.
     """
 
     table: RouteTable | TableDelta | None = None
     targets: TargetList | TargetDelta | None = None
     closed_zones: ClosedZones | None = None
+    rollouts: Rollouts | None = None
+
+    optional_fields: ClassVar[tuple[str, ...]] = ("rollouts",)
 
     @property
     def is_empty(self) -> bool:
--- a/packages/node/orioleloftd/attemptrecorder.py
+++ b/packages/node/orioleloftd/attemptrecorder.py
@@ -1,6 +1,8 @@
 """Records what attempts show of targets: failures, speed and contention."""
 
+import math
 from collections.abc import Callable
+from typing import Protocol
 
 from orioleloft_core.contention import (
     MIN_SERVICE_TIME_S,
@@ -22,6 +24,28 @@
 MAX_STEADY_PACE = 1.1
 
 
+class AttemptEvidence(Protocol):
+    """Receives what attempts show of versions of targets."""
+
+    def on_attempt(
+        self,
+        target: RegisteredTarget,
+        route: str,
+        is_failure: bool,
+        ratio: float | None,
+        seconds: float,
+    ) -> None:
+        """Counts an attempt.
+
+        Args:
+            target: the target.
+            route: name of the route.
+            is_failure: whether the attempt failed.
+            ratio: response time over the expected one at the stated pace, or None if unknown.
+            seconds: response time.
+        """
+
+
 class AttemptRecorder:
     """Updates the observations, service times and contention curves after each attempt.
 
@@ -31,6 +55,7 @@
         contention: contention curves of the services.
         report_target: reports a target to other nodes: target id, failures, latency ratio.
         clock: seconds on the node's clock.
+        evidence: receives what attempts show of versions, or None where it does not matter.
     """
 
     def __init__(
@@ -40,7 +65,9 @@
         contention: ContentionCurves,
         report_target: Callable[[str, float, float], None],
         clock: Callable[[], float],
+        evidence: AttemptEvidence | None = None,
     ) -> None:
+        self._evidence = evidence
         self._access = access
         self._service_times = service_times
         self._contention = contention
@@ -63,6 +90,7 @@
             load: load figures in the response, or None.
         """
         self._record_contention(context, selected, seconds, load)
+        self._record_evidence(context, selected, seconds, load)
         route, target = context.route, selected.candidate.target
         expected = max(0.001, selected.expected_response_time)
         factor = seconds / expected
@@ -75,6 +103,34 @@
         if factor >= SLOW_REPORT_FACTOR:
             self._report_target(target.id, 0.0, factor)
 
+    def _record_evidence(
+        self,
+        context: RequestContext,
+        selected: SelectedTarget,
+        seconds: float,
+        load: LoadFigures | None,
+    ) -> None:
+        """Counts a duration for the version of the target.
+
+        The stated pace is late by one request, so the mean of the one before the attempt and the
+        one in its answer is the best estimate. The target's own latency ratio is left out, as it
+        would hide that a version is slow. Cold targets are slow whatever their version.
+        """
+        if self._evidence is None:
+            return
+        route, candidate = context.route, selected.candidate
+        ratio = None
+        if not candidate.is_cold:
+            paces = candidate.load.pace, (load or candidate.load).pace
+            slots = max(1, candidate.load.slots)
+            expected = self._service_times.expected(route.name, route.target_latency)
+            expected *= math.sqrt(paces[0] * paces[1])
+            expected *= self._contention.of(candidate.target.service).slowdown(
+                self._clock(), selected.busy_slots, slots
+            )
+            ratio = seconds / max(0.001, expected)
+        self._evidence.on_attempt(candidate.target, route.name, False, ratio, seconds)
+
     def _record_contention(
         self,
         context: RequestContext,
@@ -118,18 +174,22 @@
         factor = seconds / max(0.001, selected.expected_response_time)
         if factor < SLOW_REPORT_FACTOR / 2:
             return
+        self._record_evidence(context, selected, seconds * CANCELLED_DURATION_FACTOR, None)
         target = selected.candidate.target
         self._access.observations(target).on_response_time(
             self._clock(), factor * CANCELLED_DURATION_FACTOR
         )
         self._report_target(target.id, 0.0, factor * CANCELLED_DURATION_FACTOR)
 
-    def on_failure(self, target: RegisteredTarget, weight: float = 1.0) -> None:
+    def on_failure(self, target: RegisteredTarget, weight: float = 1.0, route: str = "") -> None:
         """Records a failed attempt and reports it to the other nodes.
 
         Args:
             target: the target.
             weight: failures that it counts as.
+            route: name of the route.
         """
+        if self._evidence is not None:
+            self._evidence.on_attempt(target, route, True, None, 0.0)
         self._access.observations(target).on_failure(self._clock(), weight)
         self._report_target(target.id, weight, 0.0)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -26,6 +26,7 @@
 )
 from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.retrybudget import RetryBudget
+from orioleloft_core.rollouts import VersionGate
 from orioleloft_core.routes import DEFAULT_LIMITS, CallerLimits, Route, RouteTable, TrafficSplitter
 from orioleloft_core.slowstart import SlowStartLimiter
 from orioleloft_core.stopping import GracefulShutdown
@@ -42,6 +43,8 @@
 from orioleloftd.peering import CRASHES_PATH, STATE_PATH, DatagramEndpoint, StateExchange
 from orioleloftd.peerprotocol import PeerProtocol
 from orioleloftd.requestcontext import CallerReply, CallerRequest
+from orioleloftd.rolloutcontrol import ROLLOUTS_PATH, RolloutControl
+from orioleloftd.rolloutsync import RolloutsResource
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
 from orioleloftd.shutdown import ShutdownSequence
 from orioleloftd.storesync import Store, StoreError, StoreSync
@@ -131,7 +134,12 @@
         self._tasks: set[asyncio.Task] = set()
         self._probe_rate_versions: tuple[object, ...] = ()
         self._cached_probe_rate = 0.0
-        self._state = SharedState(self._on_state_change)
+        self._state = SharedState(
+            self._on_state_change,
+            lambda rollouts: self._versions.on_rollouts(rollouts),
+            lambda: self._versions.known_versions,
+        )
+        self._versions = VersionGate(settings.bounds.rollouts, self._state.registry)
         self._logged_limits: dict[str, dict[int, int]] = {}
         self._applied_table: RouteTable | None = None
         self._traffic_splitter = TrafficSplitter(self._rng)
@@ -150,6 +158,19 @@
             self._rng,
             node_clock,
         )
+        self._rollouts = RolloutControl(
+            versions=self._versions,
+            registry=self._state.registry,
+            fleet=self._fleet,
+            transport=self._transport,
+            store=store,
+            is_reading=lambda: self._store_sync.is_reading,
+            table=lambda: self._state.table,
+            in_flight=lambda target: self._forwarder.access.observations(target).in_flight,
+            count=self._metrics.count,
+            clock=node_clock,
+            unix_time_ms=unix_time_ms,
+        )
         self._peer_protocol = PeerProtocol(
             fleet=self._fleet,
             state=self._state,
@@ -157,12 +178,19 @@
             exchange=self._state_exchange,
             reports=self,
             crashes=self._crash_dissemination,
+            rollouts=self._rollouts,
             spawn=self._spawn,
             clock=node_clock,
             rng=self._rng,
         )
         self._store_sync = StoreSync(
-            store, self._state, self._is_watcher, self._on_store_access, node_clock, self._rng
+            store,
+            self._state,
+            self._is_watcher,
+            self._on_store_access,
+            node_clock,
+            self._rng,
+            (RolloutsResource,) if self._versions.is_enabled else (),
         )
         self._crash_archive = CrashArchive(
             self._crash_tracker, store, self._fleet, self._store_sync, node_clock
@@ -218,6 +246,8 @@
             count=self._metrics.count,
             clock=node_clock,
             rng=self._rng,
+            versions=self._versions,
+            evidence=self._rollouts,
         )
 
     def _budget_node_count(self) -> int:
@@ -273,6 +303,7 @@
         self._spawn(self._bootstrap())
         self._spawn(self._run_periodically(membership.PING_PERIOD_S, self._tick))
         self._spawn(self._sample_lag())
+        self._spawn(self._rollouts.run())
         self._spawn(self._run_periodically(SWEEP_PERIOD_S, self._forwarder.sweep))
         self._spawn(self._run_periodically(CONTENTION_REPORT_PERIOD_S, self._report_contention))
 
@@ -335,8 +366,9 @@
         """
         try:
             # The blocks come first, as with the rest this node begins to serve.
-            _, (table, _), targets, closed = await asyncio.gather(
+            _, rollouts, (table, _), targets, closed = await asyncio.gather(
                 self._crash_archive.load(),
+                self._rollouts.read_initial(),
                 self._store.read_table(allow_stale=True),
                 self._store.read_targets(allow_stale=True),
                 self._store.read_closed_zones(allow_stale=True),
@@ -348,7 +380,7 @@
             # The bootstrap goes on to the watch, which reads the store again.
             _log.exception("initial read failed unexpectedly")
             return
-        self._state.apply_initial(StateUpdate(table, targets, closed))
+        self._state.apply_initial(StateUpdate(table, targets, closed, rollouts))
 
     async def _wait_until_ready(self, seconds: float) -> None:
         end = node_clock() + seconds
@@ -387,6 +419,7 @@
             self._applied_table = table
             self._traffic_splitter.retain_routes(table.routes)
             self._caller_server.apply_limits(table.limits)
+        self._versions.refresh()
         before = self._fleet.own_state
         self._fleet.set_state_versions(self._state.state_versions)
         if self.is_ready and not before.is_ready:
@@ -456,6 +489,8 @@
         if path == CRASHES_PATH:
             records = self._crash_dissemination.records_to_transfer()
             return self._state_exchange.answer_crashes(records)
+        if path == ROLLOUTS_PATH:
+            return self._rollouts.answer()
         if path != STATE_PATH:
             return 404, "text/plain", b"unknown path"
         nodes = (self._fleet.own_state, *self._fleet.alive())
@@ -466,6 +501,7 @@
     def _serve_metrics(self, method: str, path: str, query: dict[str, str]) -> ControlResponse:
         self._metrics.set_gauge("rate_limits_in_force", self._rate_limits.count)
         self._metrics.set_gauge("blocked_requests", self._crash_tracker.blocked_count)
+        self._metrics.set_gauge("rollouts_undecided", self._rollouts.undecided_count)
         self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
 
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -18,11 +18,12 @@
 from orioleloft_core.ratelimits import AnswerKind, RateLimitNotice, RateLimits
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
+from orioleloft_core.rollouts import VersionGate
 from orioleloft_core.routes import Route, RouteTable
 from orioleloft_core.selection import ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
 from orioleloft_core.slowstart import SlowStartLimiter
-from orioleloftd.attemptrecorder import AttemptRecorder
+from orioleloftd.attemptrecorder import AttemptEvidence, AttemptRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
 from orioleloftd.logs import log_event
 from orioleloftd.ratelimitrecorder import RateLimitRecorder
@@ -86,6 +87,8 @@
         count: increments a metric.
         clock: seconds on the node's clock.
         rng: source of randomness.
+        versions: decides which versions of targets get requests.
+        evidence: receives what attempts show of versions, or None.
     """
 
     def __init__(
@@ -108,6 +111,8 @@
         count: Callable[..., None],
         clock: Callable[[], float],
         rng: random.Random,
+        versions: VersionGate | None = None,
+        evidence: AttemptEvidence | None = None,
     ) -> None:
         self._wire = wire
         self._table = table
@@ -139,9 +144,10 @@
             probe_budget=probe_budget,
             clock=clock,
             rng=rng,
+            versions=versions or VersionGate(None, registry),
         )
         self._recorder = AttemptRecorder(
-            self._access, self._service_times, self._contention, report_target, clock
+            self._access, self._service_times, self._contention, report_target, clock, evidence
         )
         self._caller_retries = CallerRetryDetector()
         self._crash_checks: set[asyncio.Task] = set()
@@ -415,9 +421,11 @@
             if not error.was_request_sent:
                 return _EndedAttempt(AttemptResult(AttemptEnd.NOT_SENT), target)
             if error.is_oversized:
-                self._recorder.on_failure(target, OVERSIZED_RESPONSE_WEIGHT)
+                self._recorder.on_failure(
+                    target, OVERSIZED_RESPONSE_WEIGHT, route=context.route.name
+                )
                 return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
             check = self._start_crash_check(context, target)
             if context.route.is_idempotent:
                 # A retry that runs ahead of the check could crash one target more than allowed.
@@ -431,7 +439,7 @@
             # A defect that one target triggers must not end the request.
             _log.exception("attempt failed unexpectedly")
             selected.connection.close()
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
             return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
 
     async def _exchange(
@@ -485,17 +493,17 @@
             self._access.release(target, connection)
         if metadata.is_not_executed:
             if response.status != 503:
-                self._recorder.on_failure(target)
+                self._recorder.on_failure(target, route=context.route.name)
             return _EndedAttempt(
                 AttemptResult(AttemptEnd.REFUSED, response.status), target, response
             )
         if not metadata.has_identity_encoding or (
             response.status < 300 and not metadata.has_signature
         ):
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
             return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
         if response.status >= 500:
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
         else:
             self._clear_evidence(request)
             self._recorder.on_success(context, selected, now - started_at, metadata.load)
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -21,6 +21,8 @@
     Ping,
     PingAnswer,
     RateLimitReport,
+    RolloutDirective,
+    RolloutEvidence,
     SharedStateUpdate,
     StateVersions,
     TargetReport,
@@ -30,6 +32,7 @@
 from orioleloftd.crashdissemination import CrashDissemination
 from orioleloftd.logs import log_event
 from orioleloftd.peering import DatagramEndpoint, StateExchange
+from orioleloftd.rolloutcontrol import RolloutControl
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
 
 # Delay before the shared state is fetched from another node, in seconds; a datagram with the same
@@ -80,6 +83,7 @@
         exchange: fetches the shared state over HTTP.
         reports: receives the reports of other nodes.
         crashes: exchanges the evidence on requests that crash targets.
+        rollouts: exchanges the evidence on new versions of targets, and directives.
         spawn: runs a coroutine as a background task.
         clock: returns seconds of the node's clock.
         rng: random number generator.
@@ -94,6 +98,7 @@
         exchange: StateExchange,
         reports: ReportReceiver,
         crashes: CrashDissemination,
+        rollouts: RolloutControl,
         spawn: Callable[[Awaitable[None]], None],
         clock: Callable[[], float],
         rng: random.Random,
@@ -104,6 +109,7 @@
         self._state_exchange = exchange
         self._report_receiver = reports
         self._crashes = crashes
+        self._rollouts = rollouts
         self._spawn = spawn
         self._clock = clock
         self._rng = rng
@@ -230,6 +236,8 @@
                 )
             case CrashReport():
                 self._crashes.on_report(datagram)
+            case RolloutEvidence() | RolloutDirective():
+                self._rollouts.on_datagram(datagram)
             case RateLimitReport():
                 self._report_receiver.on_rate_limit_report(datagram)
                 self._transport.send(self._fleet.relay(datagram))
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -90,6 +90,7 @@
         fallback_reply: reply to use if no further attempt can be made.
         probe_count: number of probes sent in the last round.
         candidates: targets that responded in the last round, with their load.
+        is_chosen: whether its first attempt goes to the version that is being rolled out.
     """
 
     request: CallerRequest
@@ -102,6 +103,7 @@
     fallback_reply: CallerReply | None = None
     probe_count: int = 0
     candidates: tuple[ProbedTarget, ...] = ()
+    is_chosen: bool = False
 
     @property
     def rank(self) -> Rank:
--- a/packages/node/orioleloftd/sharedstate.py
+++ b/packages/node/orioleloftd/sharedstate.py
@@ -1,16 +1,24 @@
-"""Route table, registered targets and closed zones that are in force on this node.
+"""Route table, registered targets, closed zones and roll-outs in force on this node.
 
 Updates come from the store, if this node is a watcher, and from other nodes. Versions are
 monotonic: an older one never replaces a newer one, in whatever order updates arrive.
 """
 
+import dataclasses
 import enum
 import logging
 from collections.abc import Callable, Iterable
 
 from orioleloft_core import updates
 from orioleloft_core.messages import StateVersions
-from orioleloft_core.registry import ClosedZones, TargetList, TargetRegistry, defer_removals
+from orioleloft_core.registry import (
+    ClosedZones,
+    StateVersion,
+    TargetList,
+    TargetRegistry,
+    defer_removals,
+)
+from orioleloft_core.rollouts import Rollouts, ServiceVersions
 from orioleloft_core.routes import RouteTable
 from orioleloft_core.updates import (
     StateUpdate,
@@ -43,10 +51,20 @@
 
     Args:
         on_change: called after each change with its origin.
+        on_rollouts: called with each newer snapshot of the roll-outs.
+        known_versions: returns the versions of services that need no order.
     """
 
-    def __init__(self, on_change: Callable[[ChangeOrigin], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[ChangeOrigin], None],
+        on_rollouts: Callable[[Rollouts], None] = lambda rollouts: None,
+        known_versions: Callable[[], tuple[ServiceVersions, ...]] = tuple,
+    ) -> None:
         self._on_change = on_change
+        self._on_rollouts = on_rollouts
+        self._known_versions = known_versions
+        self._rollouts = Rollouts(StateVersion(), ())
         self._table: RouteTable | None = None
         self._registry = TargetRegistry()
         self._table_history = TableHistory()
@@ -74,6 +92,7 @@
             self._table.version if self._table else 0,
             self._registry.target_list.version,
             self._registry.closed_zones.version,
+            self._rollouts.version,
         )
 
     # Results from the store; see `storesync.StoreListener`.
@@ -108,6 +127,11 @@
         if self._replace_closed_zones(closed, STORE):
             self._on_change(ChangeOrigin.STORE)
 
+    def on_rollouts(self, rollouts: Rollouts) -> None:
+        """Replaces the roll-outs if the given ones are newer."""
+        if self._replace_rollouts(rollouts, STORE):
+            self._on_change(ChangeOrigin.STORE)
+
     # Updates from other nodes, and the initial read.
 
     def apply_initial(self, update: StateUpdate) -> None:
@@ -129,6 +153,8 @@
 
     def _apply_parts(self, update: StateUpdate, source: str) -> bool:
         before = self.state_versions
+        if update.rollouts is not None:
+            self._replace_rollouts(update.rollouts, source)
         match update.table:
             case RouteTable() as table:
                 self._replace_table(table, source)
@@ -155,7 +181,10 @@
             targets = self._target_history.update_since(known.targets, newest)
         if self._registry.closed_zones.version > known.closed_zones:
             closed = self._registry.closed_zones
-        return StateUpdate(table, targets, closed)
+        rollouts = None
+        if self._rollouts.version > known.rollouts:
+            rollouts = dataclasses.replace(self._rollouts, known=self._known_versions())
+        return StateUpdate(table, targets, closed, rollouts)
 
     # Replacement of single parts.
 
@@ -205,3 +234,16 @@
         if closed.zones != before:
             log_event(_log, "closed zones in force", zones=closed.zones, source=source)
         return True
+
+    def _replace_rollouts(self, rollouts: Rollouts, source: str) -> bool:
+        if rollouts.version <= self._rollouts.version:
+            return False
+        before, self._rollouts = self._rollouts, rollouts
+        self._on_rollouts(rollouts)
+        if rollouts.orders != before.orders:
+            orders = {
+                order.service: f"{order.target_version} {order.state.name.lower()}"
+                for order in rollouts.orders
+            }
+            log_event(_log, "rollouts in force", orders=orders, source=source)
+        return True
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -11,6 +11,7 @@
 from orioleloft_core.crashes import CrashRecord
 from orioleloft_core.messages import NodeList, StoreAccess
 from orioleloft_core.registry import ClosedZones, RegisteredTarget, TargetList
+from orioleloft_core.rollouts import Rollouts
 from orioleloft_core.routes import RouteTable
 from orioleloftd.logs import log_event
 
@@ -157,6 +158,9 @@
     def on_closed_zones(self, closed: ClosedZones) -> None:
         """Handles the list of closed availability zones."""
 
+    def on_rollouts(self, rollouts: Rollouts) -> None:
+        """Handles the list of orders to move services to versions."""
+
 
 class StoreSync:
     """Lists and watches the store's resources while this node is a watcher.
@@ -169,6 +173,7 @@
             watching.
         clock: returns seconds of the node's clock.
         rng: random number generator for backoff jitter.
+        other_resources: classes of further resources to synchronise.
     """
 
     def __init__(
@@ -179,7 +184,9 @@
         on_access: Callable[[StoreAccess], None],
         clock: Callable[[], float],
         rng: random.Random,
+        other_resources: tuple[type["_Resource"], ...] = (),
     ) -> None:
+        self._other_resources = other_resources
         self._store = store
         self._listener = listener
         self._is_watcher = is_watcher
@@ -195,7 +202,12 @@
     def start(self) -> None:
         """Starts one background task for each resource of the store."""
         loop = asyncio.get_running_loop()
-        for resource in (_TableResource, _TargetsResource, _ZonesResource):
+        for resource in (
+            _TableResource,
+            _TargetsResource,
+            _ZonesResource,
+            *self._other_resources,
+        ):
             self._tasks.append(
                 loop.create_task(self._run(resource(self._store, self._listener, self)))
             )
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -12,6 +12,7 @@
 from orioleloft_core.permits import PermitScheduler
 from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
+from orioleloft_core.rollouts import VersionGate
 from orioleloft_core.routes import RoutedService
 from orioleloft_core.selection import FIRST_ROUND_PROBES, ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
@@ -86,6 +87,7 @@
         probe_budget: token bucket for the probes of this node.
         clock: seconds on the node's clock.
         rng: source of the times at which rejected callers return.
+        versions: decides which versions of targets get requests.
     """
 
     def __init__(
@@ -101,7 +103,9 @@
         probe_budget: TokenBucket,
         clock: Callable[[], float],
         rng: random.Random,
+        versions: VersionGate,
     ) -> None:
+        self._versions = versions
         self._access = access
         self._registry = registry
         self._selector = selector
@@ -133,8 +137,10 @@
 
     def _probe_with_idle_permits(self, service: RoutedService) -> None:
         """Probes the targets for which this node has had a permit and no request for some time."""
+        now = self._clock()
         targets = self._registry.eligible_targets(service.name)
-        for target in self._permits.take_idle(self._clock(), targets):
+        targets = self._versions.admitted(now, service.name, targets, is_chosen=False)
+        for target in self._permits.take_idle(now, targets):
             task = self._start_probe(target, service, has_permit=True)
             task.add_done_callback(self._access.release_late_probe)
 
@@ -145,8 +151,16 @@
             The target, to be used or to be given back by `release_unused`, or why there is none:
             the queue is too long, no target became free in time, or none gets a permit in time.
         """
+        selected = await self._acquire_admitted(context)
+        if isinstance(selected, SelectedTarget) and not context.attempt_count:
+            self._versions.on_first_attempt(context.service.name)
+        return selected
+
+    async def _acquire_admitted(self, context: RequestContext) -> SelectedTarget | Rejection:
         queue = self._queues.setdefault(context.service.name, AdmissionQueue())
-        selected = None
+        selected = await self._select_new_version(context)
+        if selected is not None:
+            return selected
         if not queue.must_queue(context.rank):
             selected = await self._select_target(context)
         now = self._clock()
@@ -172,17 +186,46 @@
             queue.on_queued_dispatch(self._clock(), context.rank)
         return selected
 
+    async def _select_new_version(self, context: RequestContext) -> SelectedTarget | None:
+        """Selects a target of the new version if the request is within the version's share.
+
+        If none can take it now, the request goes to the old versions like all others.
+        """
+        service = context.service.name
+        if context.attempt_count or not self._versions.choose(self._clock(), service):
+            return None
+        context.is_chosen = True
+        selected = None
+        try:
+            selected = await self._select_target(context)
+        finally:
+            if selected is None:
+                context.is_chosen = False
+                self._versions.give_back(self._clock(), service)
+        return selected
+
+    def _is_admitted(self, context: RequestContext, target: RegisteredTarget) -> bool:
+        """Whether a target that was found earlier may still get the request, by its version."""
+        return self._versions.admits(self._clock(), target, self._is_chosen(context))
+
+    def _is_chosen(self, context: RequestContext) -> bool:
+        # Retries and hedges of a chosen request go to the old versions.
+        return context.is_chosen and not context.attempt_count
+
     def _can_wait(
         self, context: RequestContext, ahead: int, now: float, wait_deadline: float
     ) -> bool:
         return self._permits.can_wait(now, self._untried_targets(context), ahead, wait_deadline)
 
     def _untried_targets(self, context: RequestContext) -> list[RegisteredTarget]:
-        return [
-            target
-            for target in self._registry.eligible_targets(context.service.name)
-            if target.id not in context.tried_target_ids
-        ]
+        service = context.service.name
+        admitted = self._versions.admitted(
+            self._clock(),
+            service,
+            self._registry.eligible_targets(service),
+            self._is_chosen(context),
+        )
+        return [target for target in admitted if target.id not in context.tried_target_ids]
 
     def _reject_without_permit(
         self, context: RequestContext, queue: AdmissionQueue, now: float, since: float
@@ -285,6 +328,7 @@
         is_eligible = (
             candidate.target.id not in context.tried_target_ids
             and self._registry.is_eligible(candidate.target)
+            and self._is_admitted(context, candidate.target)
             and not self._rate_limits.is_limited(candidate.target)
         )
         if not (
@@ -304,9 +348,11 @@
         queue = self._queues.get(service)
         waiter = queue.head if queue else None
         is_free = self._selector.has_free_slot(self._clock(), candidate) and connection.is_usable
-        is_eligible = self._registry.is_eligible(
-            candidate.target
-        ) and not self._rate_limits.is_limited(candidate.target)
+        is_eligible = (
+            self._registry.is_eligible(candidate.target)
+            and self._versions.admits(self._clock(), candidate.target, is_chosen=False)
+            and not self._rate_limits.is_limited(candidate.target)
+        )
         if waiter is None or not is_free or not is_eligible:
             self._access.release(candidate.target, connection)
             return
@@ -348,6 +394,7 @@
         now = self._clock()
         if (
             not self._registry.is_eligible(best.target)
+            or not self._is_admitted(context, best.target)
             or context.deadline - now < MIN_TIME_TO_DEADLINE_S
         ):
             self._access.release(best.target, connection)
@@ -450,6 +497,7 @@
             for candidate, connection in responsive.items()
             if connection.is_usable
             and self._registry.is_eligible(candidate.target)
+            and self._is_admitted(context, candidate.target)
             and not self._rate_limits.is_limited(candidate.target)
             and self._selector.has_free_slot(now, candidate)
             and self._is_response_acceptable(
--- a/standins/store.py
+++ b/standins/store.py
@@ -69,6 +69,8 @@
                 return (404, {"error": "no such object"}) if existing is None else (200, existing)
             case "POST", "":
                 return await self._create(kind, document)
+            case "PUT", _ if name.endswith("/status"):
+                return await self._write_status(kind, name.removesuffix("/status"), document)
             case "PUT", _:
                 return await self._replace(kind, name, document)
             case "DELETE", _:
@@ -137,6 +139,23 @@
         await self._append_event(kind, {"object": stored_object, "removed": False})
         return 200, stored_object
 
+    async def _write_status(
+        self, kind: str, name: str, document: dict[str, Any]
+    ) -> tuple[int, Any]:
+        """Replaces the status of an object, if it still has the revision that the caller gives."""
+        existing = self.objects(kind).get(name)
+        if existing is None:
+            return 404, {"error": "no such object"}
+        expected_revision = document.get("metadata", {}).get("revision")
+        if expected_revision is not None and expected_revision != existing["metadata"]["revision"]:
+            return 409, existing
+        self.revision += 1
+        metadata = existing["metadata"] | {"revision": self.revision}
+        stored_object = existing | {"metadata": metadata, "status": document.get("status")}
+        self.objects(kind)[name] = stored_object
+        await self._append_event(kind, {"object": stored_object, "removed": False})
+        return 200, stored_object
+
     async def _delete(self, kind: str, name: str) -> tuple[int, Any]:
         existing = self.objects(kind).pop(name, None)
         if existing is None:
--- a/tests/test_boundaries.py
+++ b/tests/test_boundaries.py
@@ -72,6 +72,8 @@
     ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
     ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
     ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
+    ["RolloutEvidence", STATE, "s", "k", 7, 1, True, [["r", "t", 4, 1, 3, 0, -2, 9, 40]], 0],
+    ["RolloutDirective", STATE, "s", ["n2", "k", 1, 3], 900, 1],
 )
 
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -63,6 +63,9 @@
         ["ContentionReport", STATE, "s", [["r", [[3, 40, -531]]]], 0],
         ["RateLimitReport", STATE, ["t1", 12, 1.5, 40, True], 0],
         ["RateLimitReport", STATE, ["t1", 12, None, 41, False], 0],
+        ["RolloutEvidence", STATE, "s", "k", 7, 1, True, [["r", "", 4, 1, 3, 0, -2, 9, 40]], 0],
+        ["RolloutDirective", STATE, "s", ["n2", "k", 1, 3], 900, 1],
+        ["News", STATE, [None, None, None, [[9, 1], [["s", "v2", 12.0, 4, 9, 1]]]], 0],
     )
     def test_datagrams(self, values):
         """Guards against a renamed class, which nodes of the last release could not decode."""
@@ -119,6 +122,8 @@
                 "CrashReport": messages.CrashReport,
                 "ContentionReport": messages.ContentionReport,
                 "RateLimitReport": messages.RateLimitReport,
+                "RolloutEvidence": messages.RolloutEvidence,
+                "RolloutDirective": messages.RolloutDirective,
             },
         )
 
