--- a/packages/command/orioleloft/helptexts.py
+++ b/packages/command/orioleloft/helptexts.py
@@ -61,6 +61,14 @@
         "One line a note: begin in Unix milliseconds, operator, note, author and changes.\n"
         "Publish such a note again to finish it.",
     ),
+    Subcommand(
+        "rollouts",
+        "[NODE:PORT]",
+        "shows the roll-outs of versions and why they are in their state",
+        "orioleloft --settings orioleloft.ini rollouts 10.1.0.4:7000",
+        "Without a node, shows orders and states in the store. With the address listen.control\n"
+        "of a node, shows its counts and evidence; those of the deciding node are complete.",
+    ),
     Subcommand(
         "account",
         "LOG...",
--- a/packages/command/orioleloft/main.py
+++ b/packages/command/orioleloft/main.py
@@ -10,7 +10,7 @@
 
 from absl import app, flags
 
-from orioleloft import account, helptexts, publishing
+from orioleloft import account, helptexts, publishing, rolloutview
 from orioleloft_core import note as notes
 from orioleloft_core.entrysettings import Endpoint, parse_endpoint
 from orioleloft_core.errors import NoteError, OrioleloftError, SettingsError
@@ -89,6 +89,12 @@
         case ["pending"]:
             pending = await _open_store(read_settings(settings_path)).read_pending()
             return [_format_pending(each) for each in pending] or ["no pending notes"]
+        case ["rollouts"]:
+            orders = await _open_store(read_settings(settings_path)).read_rollouts()
+            return rolloutview.format_orders(orders)
+        case ["rollouts", node]:
+            store = _open_store(read_settings(settings_path))
+            return rolloutview.format_node(await store.read_node_rollouts(parse_endpoint(node)))
         case ["account", first, *others]:
             return account.format_text(account.build(_read_logs([first, *others])))
         case ["help"]:
--- a/packages/command/orioleloft/publishing.py
+++ b/packages/command/orioleloft/publishing.py
@@ -7,11 +7,13 @@
 
 import dataclasses
 import time
-from typing import Protocol
+from typing import Any, Protocol
 
 from orioleloft_core import note as notes
+from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.errors import OutcomeUnknownError, ReleaseRefusedError
 from orioleloft_core.note import ReleaseNote, ZoneEdit
+from orioleloft_core.rollouts import RolloutOrder
 from orioleloft_core.routes import RouteTable
 
 # Operators that publish at the same time cause a few conflicts; more in a row point to a fault.
@@ -107,6 +109,16 @@
     async def read_audit(self) -> list[AuditEntry]:
         """Returns the audit trail, oldest entry first."""
 
+    async def read_rollouts(self) -> tuple[RolloutOrder, ...]:
+        """Returns the orders to move services to versions, with their states."""
+
+    async def read_node_rollouts(self, node: Endpoint) -> dict[str, Any]:
+        """Returns what a node holds of the roll-outs.
+
+        Args:
+            node: address at which the node accepts requests of other nodes.
+        """
+
     async def add_pending(self, pending: PendingNote) -> bool:
         """Records a pending note; returns False if one of this name is recorded already."""
 
--- a/packages/core/orioleloft_core/rollouts.py
+++ b/packages/core/orioleloft_core/rollouts.py
@@ -249,7 +249,8 @@
             self._known.setdefault(each.service, frozenset(each.versions))
         orders = {order.service: order for order in rollouts.orders}
         for service in [service for service in self._progress if service not in orders]:
-            if self._progress[service].final is None:
+            progress = self._progress[service]
+            if progress.final is None and not progress.is_rolled_back:
                 del self._progress[service]
         for service, order in orders.items():
             self._follow(service, order)
@@ -259,9 +260,11 @@
         progress = self._progress.get(service)
         if progress is None or progress.order.key != order.key:
             # After a restore of the store, operators write their orders again.
-            final = progress.final if progress and is_repeated(order, progress.order) else None
+            earlier = progress if progress and is_repeated(order, progress.order) else None
             progress = self._progress[service] = _OrderProgress(order)
-            progress.final = progress.final or final
+            if earlier is not None:
+                progress.final = progress.final or earlier.final
+                progress.is_rolled_back = earlier.is_rolled_back
             self._credits.pop(service, None)
         progress.order = order
         if order.state.is_final:
--- a/packages/node/orioleloftd/attemptrecorder.py
+++ b/packages/node/orioleloftd/attemptrecorder.py
@@ -90,7 +90,11 @@
             load: load figures in the response, or None.
         """
         self._record_contention(context, selected, seconds, load)
-        self._record_evidence(context, selected, seconds, load)
+        if self._evidence is not None:
+            ratio = self._time_ratio(context, selected, seconds, load)
+            self._evidence.on_attempt(
+                selected.candidate.target, context.route.name, False, ratio, seconds
+            )
         route, target = context.route, selected.candidate.target
         expected = max(0.001, selected.expected_response_time)
         factor = seconds / expected
@@ -103,33 +107,45 @@
         if factor >= SLOW_REPORT_FACTOR:
             self._report_target(target.id, 0.0, factor)
 
-    def _record_evidence(
+    def _time_ratio(
         self,
         context: RequestContext,
         selected: SelectedTarget,
         seconds: float,
         load: LoadFigures | None,
-    ) -> None:
-        """Counts a duration for the version of the target.
+    ) -> float | None:
+        """Returns a duration over the one expected at the stated pace, or None for a cold target.
 
         The stated pace is late by one request, so the mean of the one before the attempt and the
         one in its answer is the best estimate. The target's own latency ratio is left out, as it
         would hide that a version is slow. Cold targets are slow whatever their version.
         """
+        route, candidate = context.route, selected.candidate
+        if candidate.is_cold:
+            return None
+        paces = candidate.load.pace, (load or candidate.load).pace
+        slots = max(1, candidate.load.slots)
+        expected = self._service_times.expected(route.name, route.target_latency)
+        expected *= math.sqrt(paces[0] * paces[1])
+        expected *= self._contention.of(candidate.target.service).slowdown(
+            self._clock(), selected.busy_slots, slots
+        )
+        return seconds / max(0.001, expected)
+
+    def _record_cancelled_evidence(
+        self, context: RequestContext, selected: SelectedTarget, seconds: float
+    ) -> None:
+        """Counts a cancelled attempt as an answer if it had taken longer than expected.
+
+        Otherwise a slow version would lose its slow answers to hedged requests.
+        """
         if self._evidence is None:
             return
-        route, candidate = context.route, selected.candidate
-        ratio = None
-        if not candidate.is_cold:
-            paces = candidate.load.pace, (load or candidate.load).pace
-            slots = max(1, candidate.load.slots)
-            expected = self._service_times.expected(route.name, route.target_latency)
-            expected *= math.sqrt(paces[0] * paces[1])
-            expected *= self._contention.of(candidate.target.service).slowdown(
-                self._clock(), selected.busy_slots, slots
-            )
-            ratio = seconds / max(0.001, expected)
-        self._evidence.on_attempt(candidate.target, route.name, False, ratio, seconds)
+        ratio = self._time_ratio(context, selected, seconds, None)
+        if ratio is not None and ratio >= SLOW_REPORT_FACTOR / 2:
+            ratio *= CANCELLED_DURATION_FACTOR
+            target = selected.candidate.target
+            self._evidence.on_attempt(target, context.route.name, False, ratio, seconds)
 
     def _record_contention(
         self,
@@ -171,10 +187,10 @@
 
         Attempts cancelled early are ignored, as they do not show that the target is slow.
         """
+        self._record_cancelled_evidence(context, selected, seconds)
         factor = seconds / max(0.001, selected.expected_response_time)
         if factor < SLOW_REPORT_FACTOR / 2:
             return
-        self._record_evidence(context, selected, seconds * CANCELLED_DURATION_FACTOR, None)
         target = selected.candidate.target
         self._access.observations(target).on_response_time(
             self._clock(), factor * CANCELLED_DURATION_FACTOR
--- a/packages/node/orioleloftd/rolloutcontrol.py
+++ b/packages/node/orioleloftd/rolloutcontrol.py
@@ -210,6 +210,7 @@
         for service in [service for service in self._progress if service not in orders]:
             log_event(_log, "rollout withdrawn", service=service)
             del self._progress[service]
+            self._warm_seen_at.clear()
         for service, order in orders.items():
             progress = self._progress.get(service)
             if progress is None or progress.order.key != order.key:
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -189,7 +189,8 @@
     async def _select_new_version(self, context: RequestContext) -> SelectedTarget | None:
         """Selects a target of the new version if the request is within the version's share.
 
-        If none can take it now, the request goes to the old versions like all others.
+        If none can take it now, the request goes to the old versions like all others. A late
+        response is accepted, as there would soon be no evidence on a slow version otherwise.
         """
         service = context.service.name
         if context.attempt_count or not self._versions.choose(self._clock(), service):
@@ -197,7 +198,9 @@
         context.is_chosen = True
         selected = None
         try:
-            selected = await self._select_target(context)
+            selected = await self._use_permit(context) or await self.probe_candidates(
+                context, accepts_late_response=True
+            )
         finally:
             if selected is None:
                 context.is_chosen = False
--- a/standins/rolloutfleet.py
+++ b/standins/rolloutfleet.py
@@ -64,6 +64,7 @@
         self.is_up = True
         self.loses_answers = 0
         self.call_s = 0.01
+        self.is_watched = True
         self.revision = 1
         self.orders: dict[str, RolloutOrder] = {}
         self.history: list[tuple[float, RolloutState]] = []
@@ -85,7 +86,9 @@
         self.publish()
 
     def publish(self) -> None:
-        """Sends the orders to all nodes."""
+        """Sends the orders to all nodes, unless their watches are stuck."""
+        if not self.is_watched:
+            return
         snapshot = Rollouts(StateVersion(self.revision, 1), tuple(self.orders.values()))
         self._fleet.publish(snapshot)
 
@@ -185,6 +188,7 @@
         rate: requests per second.
         loss: share of the datagrams that are lost.
         new_targets: number of targets of the version `v2`.
+        work_s: median service time, in seconds.
     """
 
     def __init__(
@@ -195,7 +199,9 @@
         rate: float = 300.0,
         loss: float = 0.0,
         new_targets: int = 5,
+        work_s: float = WORK_S,
     ) -> None:
+        self.work_s = work_s
         self.rng = random.Random(seed)
         self.fault = fault
         self.rate = rate
@@ -324,12 +330,12 @@
         is_failure = is_bad and rng.random() < self.fault.failure_share
         is_slow = is_bad and rng.random() < self.fault.slow_share and self.fault.slowdown > 1
         log = rng.gauss(0.0, DEVIATION) + math.log(self.fault.slowdown) * is_slow
-        seconds = WORK_S * math.exp(log)
+        seconds = self.work_s * math.exp(log)
         node.in_flight[target.id] = node.in_flight.get(target.id, 0) + 1
         await asyncio.sleep(seconds)
         node.in_flight[target.id] -= 1
         self.sent.append(Sent(sent_at, target.version, is_failure or is_slow, self.now()))
-        ratio = None if is_failure else seconds / WORK_S
+        ratio = None if is_failure else seconds / self.work_s
         node.control.on_attempt(target, route, is_failure, ratio, seconds)
 
     def _draws_fault(self, now: float, route: str) -> bool:
--- a/tests/test_attemptrecorder.py
+++ b/tests/test_attemptrecorder.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 from tornado import httputil
@@ -45,6 +46,29 @@
         request = CallerRequest("j", "GET", "a", "/x", httputil.HTTPHeaders(), b"", 0.0, 4.0)
         self.context = RequestContext(request, ROUTE, SERVICE, 4.0)
 
+    @params(
+        (0.5, LoadFigures(3, 0, 6), LoadFigures(3, 0, 6), 1.0),
+        (2.0, LoadFigures(3, 0, 6, 4.0), LoadFigures(3, 0, 6, 4.0), 1.0),
+        (2.0, LoadFigures(3, 0, 6), LoadFigures(3, 0, 6), 4.0),
+        (1.0, LoadFigures(3, 0, 6, 4.0), LoadFigures(3, 0, 6), 1.0),
+    )
+    def test_evidence_on_versions(self, factor, before, after, expected):
+        """Guards against slow machines that count as slow versions, and slow versions as usual."""
+        counted = []
+        self.recorder._evidence = mock.Mock(on_attempt=lambda *each: counted.append(each))
+        usual = self.recorder._service_times.expected("r", ROUTE.target_latency)
+        # The target's own latency ratio would hide that its version is slow.
+        self.access.of_target.on_response_time(5.0, 4.0)
+        for is_cold in (False, True):
+            selected = self.selected(before, is_cold=is_cold)
+            self.recorder.on_success(self.context, selected, 2 * factor * usual, after)
+            self.recorder._service_times = ServiceTimes()
+        self.assertAlmostEqual(counted[0][3] / expected, 1.0, delta=0.01)
+        self.assertIsNone(counted[1][3])
+        self.recorder.on_cancelled(self.context, self.selected(before), usual / 2)
+        self.recorder.on_failure(TARGET, route="r")
+        self.assertEqual([each[2] for each in counted], [False, False, True])
+
     def selected(self, load, *, is_cold=False, busy_slots=3):
         return SelectedTarget(ProbedTarget(TARGET, load, is_cold), None, 0.2, busy_slots)
 
