Refuse a release note with characters that UTF-8 cannot encode

Cause: a note with a lone surrogate behind a comment or a section ended the command with a stack trace (UnicodeEncodeError). tests.test_boundaries test_note found it: hypothesis takes constants of the code into its examples, so the fixed examples change with new modules. The fault is older than those.

Change: parse raises NoteError with a remedy.

Result: tests.test_boundaries passed (before: 1 error).

--- a/packages/core/orioleloft_core/note.py
+++ b/packages/core/orioleloft_core/note.py
@@ -206,7 +206,11 @@
             f"{header['name'][:40]!r} is not a valid name of a note.",
             "Use letters, digits, dots, hyphens and underscores.",
         )
-    digest = hashing.fingerprint(text.replace("\r\n", "\n").encode())[:12]
+    try:
+        content = text.replace("\r\n", "\n").encode()
+    except UnicodeEncodeError as error:
+        raise NoteError(f"the note is not valid text: {error}.", "Write it in UTF-8.") from error
+    digest = hashing.fingerprint(content)[:12]
     return ReleaseNote(
         header["name"], header["author"], header.get("description", ""), tuple(edits), digest
     )
