Wait with a switch while evidence is unclear, also once it has begun

Cause: of 400 fresh examples of the exposure property, one completed a version that failed 15 of 100 requests from the middle on: 6 failures of 114 answers against none of 1,400 gave hardly any evidence without the worst target, and the switch went on as evidence grew to 8.3 of 11.2.

Change: a verdict has the likelihood ratio with the worst target counted as well, as a reason to wait; a switch is held when evidence becomes unclear. The mean response time is tested from 12 answers on. The command shows the evidence on nodes that do not decide, too.

--- a/packages/core/orioleloft_core/rolloutevidence.py
+++ b/packages/core/orioleloft_core/rolloutevidence.py
@@ -34,6 +34,8 @@
 DISPERSION = 1.5
 # Quantile of the normal distribution for the upper bound of the old version's rates.
 UPPER_BOUND_Z = 2.5
+# Answers from which the mean response time is tested: a few answers may all be in slow phases.
+MIN_TIMED_ANSWERS = 12
 # Lower bound of the standard deviation of the logarithm of response times.
 MIN_LOG_DEVIATION = 0.3
 # Old answers from which a period has enough of them; else those of the whole roll-out count.
@@ -172,6 +174,8 @@
         old: the same of the old version.
         answers: answers of the new version that were compared.
         targets: targets that these answers are from.
+        doubt: the same as `evidence` for rates with the worst target counted, if two targets have
+            bad answers. It shows nothing by itself, but is a reason to wait.
     """
 
     is_bad: bool = False
@@ -183,6 +187,7 @@
     old: float = 0.0
     answers: int = 0
     targets: int = 0
+    doubt: float = 0.0
 
     @property
     def text(self) -> str:
@@ -273,7 +278,7 @@
         whole = tables[0]
         tests = ALLOWED_START_TIMES * STATISTIC_COUNT * max(1, len(whole.new))
         threshold = math.log(tests / ALPHA)
-        worst = Verdict(threshold=threshold)
+        worst, doubt = Verdict(threshold=threshold), 0.0
         for table in tables:
             for route, new in table.new.items():
                 if len(new) < required:
@@ -282,6 +287,7 @@
                 if old[_ANSWERS] < MIN_OLD_ANSWERS:
                     old = whole.old.get(route, _NO_COUNTS)
                 for found in _test_route(new, old):
+                    doubt = max(doubt, found.doubt)
                     if found.evidence > worst.evidence:
                         worst = dataclasses.replace(
                             found,
@@ -289,7 +295,7 @@
                             threshold=threshold,
                             is_bad=found.evidence >= threshold,
                         )
-        return worst
+        return dataclasses.replace(worst, doubt=doubt)
 
 
 class _Table:
@@ -367,9 +373,13 @@
     tolerated = _tolerated_rate(old[count], old[total], factor)
     if bad <= tolerated * answers:
         return
+    doubt = _log_rate_ratio(bad, answers, tolerated) / dispersion
+    if sum(counts[count] > 0 for counts in new.values()) < min(2, len(new)):
+        doubt = 0.0
     targets = _without_worst(new, count, total)
     bad = sum(counts[count] for counts in targets)
     answers = sum(counts[total] for counts in targets)
+    yield Verdict(doubt=doubt)
     if bad <= tolerated * answers or not _show_fault(targets, count, total, tolerated):
         return
     evidence = _log_rate_ratio(bad, answers, tolerated) / dispersion
@@ -419,7 +429,11 @@
     answers = sum(counts[_TIMED] for counts in targets)
     mean = sum(counts[_LOG_SUM] for counts in targets) / answers / 1000
     limit = old_mean + tolerated
-    if mean <= limit or not _show_fault(targets, _LOG_SUM, _TIMED, 1000 * limit):
+    if (
+        answers < MIN_TIMED_ANSWERS
+        or mean <= limit
+        or not _show_fault(targets, _LOG_SUM, _TIMED, 1000 * limit)
+    ):
         return
     variance = old[_LOG_SQUARE_SUM] / old[_TIMED] / 1000 - old_mean**2
     variance = max(MIN_LOG_DEVIATION**2, variance) * DISPERSION
--- a/packages/core/orioleloft_core/rollouts.py
+++ b/packages/core/orioleloft_core/rollouts.py
@@ -44,6 +44,8 @@
 # Logarithm of the likelihood ratio against the new version from which the switch waits. In 6,600
 # runs of good versions (standins/rolloutmodel.py) it stayed below this in 90 to 100 of 100.
 WAITING_EVIDENCE = 2.0
+# The same with the worst target counted, from which the switch waits.
+WAITING_DOUBT = 3.0
 # The same from which a version is rolled back when it can wait no longer; none of these runs was
 # rolled back.
 FINAL_EVIDENCE = 5.0
@@ -521,6 +523,7 @@
         elapsed: time since the order was seen, in seconds.
         is_bad: whether the evidence shows that the new version is bad.
         evidence: logarithm of the greatest likelihood ratio against the new version.
+        doubt: the same with the worst target counted.
         answers: answers of the new version.
         usable_slots: slots of the new targets that are warm.
         old_slots: slots of the old targets.
@@ -532,6 +535,7 @@
     elapsed: float
     is_bad: bool = False
     evidence: float = 0.0
+    doubt: float = 0.0
     answers: int = 0
     usable_slots: int = 0
     old_slots: int = 0
@@ -539,6 +543,11 @@
     is_drained: bool = False
     can_write: bool = True
 
+    @property
+    def is_unclear(self) -> bool:
+        """Whether more evidence is needed to say that the version is good."""
+        return self.evidence >= WAITING_EVIDENCE or self.doubt >= WAITING_DOUBT
+
     @property
     def capacity(self) -> float:
         """Usable slots as a share of those that the load needs, at most 1."""
@@ -652,8 +661,13 @@
             self._reason = "no warm target of the version"
             self._chart.handle("switch_held")
             return
+        left = self._order.duration - findings.elapsed
+        if findings.is_unclear and left > LATEST_SWITCH_S:
+            self._reason = waiting_reason(findings)
+            self._chart.handle("switch_held")
+            return
         waited = findings.elapsed - self._switched_at
-        is_late = self._order.duration - findings.elapsed <= WRITE_MARGIN_S
+        is_late = left <= WRITE_MARGIN_S
         if waited < MIN_DRAIN_S or not (findings.is_drained or waited >= MAX_DRAIN_S or is_late):
             return
         self._chart.handle("switched")
@@ -668,8 +682,8 @@
     """Returns why the switch should wait, or an empty text."""
     if findings.answers < MIN_ANSWERS:
         return f"only {findings.answers} answers"
-    if findings.evidence >= WAITING_EVIDENCE:
-        return f"unclear evidence ({findings.evidence:.1f})"
+    if findings.is_unclear:
+        return f"unclear evidence ({findings.evidence:.1f}, {findings.doubt:.1f} with all targets)"
     if findings.capacity < 1:
         return f"the new targets have {findings.capacity:.0%} of the slots needed"
     return ""
--- a/packages/node/orioleloftd/rolloutcontrol.py
+++ b/packages/node/orioleloftd/rolloutcontrol.py
@@ -364,6 +364,7 @@
             elapsed=progress.elapsed(now),
             is_bad=progress.verdict.is_bad,
             evidence=progress.verdict.evidence,
+            doubt=progress.verdict.doubt,
             answers=progress.ledger.answers,
             usable_slots=usable_slots(new, warm),
             old_slots=sum(target.slots for target in old),
@@ -477,7 +478,7 @@
             "gets": self._versions.admission(now, service).value,
             "elapsed": round(progress.elapsed(now), 2),
             "duration": progress.order.duration,
-            "evidence": progress.verdict.text,
+            "evidence": progress.ledger.judge(len(self._new_targets(service, progress))).text,
             "counts": progress.ledger.summary(),
         }
 
--- a/standins/rolloutmodel.py
+++ b/standins/rolloutmodel.py
@@ -168,6 +168,7 @@
                 elapsed=now,
                 is_bad=verdict.is_bad,
                 evidence=verdict.evidence,
+                doubt=verdict.doubt,
                 answers=self._ledger.answers,
                 usable_slots=10,
                 old_slots=10,
