--- a/packages/core/orioleloft_core/rollouts.py
+++ b/packages/core/orioleloft_core/rollouts.py
@@ -46,8 +46,8 @@
 WAITING_EVIDENCE = 2.0
 # The same with the worst target counted, from which the switch waits.
 WAITING_DOUBT = 3.0
-# The same from which a version is rolled back when it can wait no longer; none of these runs was
-# rolled back.
+# The same from which a version is rolled back when it can wait no longer, or during the switch.
+# None of 13,000 runs of good versions was rolled back.
 FINAL_EVIDENCE = 5.0
 # Free slots that the new targets must have beyond the requests that run, as a factor.
 SLOT_HEADROOM = 1.25
@@ -630,7 +630,7 @@
             case "exposing":
                 self._step_exposing(findings, reason)
             case "switching":
-                self._step_switching(findings)
+                self._step_switching(findings, reason)
         return self.phase != before
 
     def _step_exposing(self, findings: RolloutFindings, reason: str) -> None:
@@ -652,7 +652,7 @@
         self._switched_at = findings.elapsed
         self._chart.handle("found_good")
 
-    def _step_switching(self, findings: RolloutFindings) -> None:
+    def _step_switching(self, findings: RolloutFindings, reason: str) -> None:
         if not findings.can_write:
             self._reason = "the store cannot be reached"
             self._chart.handle("switch_held")
@@ -662,6 +662,9 @@
             self._chart.handle("switch_held")
             return
         left = self._order.duration - findings.elapsed
+        if findings.evidence >= FINAL_EVIDENCE:
+            self.on_found_bad(f"during the switch: {reason}")
+            return
         if findings.is_unclear and left > LATEST_SWITCH_S:
             self._reason = waiting_reason(findings)
             self._chart.handle("switch_held")
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -213,6 +213,7 @@
 
     @params(
         (dict(evidence=3.0), "exposing"),
+        (dict(evidence=6.0, elapsed=11.0), "rolling_back"),
         (dict(can_write=False), "exposing"),
         (dict(usable_slots=0), "exposing"),
         (dict(is_bad=True), "rolling_back"),
