--- a/packages/node/orioleloftd/attemptrecorder.py
+++ b/packages/node/orioleloftd/attemptrecorder.py
@@ -1,7 +1,9 @@
 """Records what attempts show of targets: failures, speed and contention."""
 
 import logging
+import math
 from collections.abc import Callable
+from typing import Protocol
 
 from orioleloft_core.admissionqueue import AdmissionPolicy
 from orioleloft_core.contention import (
@@ -28,6 +30,28 @@
 _log = logging.getLogger(__name__)
 
 
+class AttemptEvidence(Protocol):
+    """Receives what attempts show of versions of targets."""
+
+    def on_attempt(
+        self,
+        target: RegisteredTarget,
+        route: str,
+        is_failure: bool,
+        ratio: float | None,
+        seconds: float,
+    ) -> None:
+        """Counts an attempt.
+
+        Args:
+            target: the target.
+            route: name of the route.
+            is_failure: whether the attempt failed.
+            ratio: response time over the expected one at the stated pace, or None if unknown.
+            seconds: response time.
+        """
+
+
 class AttemptRecorder:
     """Updates the observations, service times and contention curves after each attempt.
 
@@ -38,6 +62,7 @@
         report_target: reports a target to other nodes: target id, failures, latency ratio.
         clock: seconds on the node's clock.
         policy: returns the order of admission in force.
+        evidence: receives what attempts show of versions, or None where it does not matter.
     """
 
     def __init__(
@@ -48,7 +73,9 @@
         report_target: Callable[[str, float, float], None],
         clock: Callable[[], float],
         policy: Callable[[], AdmissionPolicy] = lambda: AdmissionPolicy.ARRIVAL,
+        evidence: AttemptEvidence | None = None,
     ) -> None:
+        self._evidence = evidence
         self._access = access
         self._service_times = service_times
         self._contention = contention
@@ -73,6 +100,11 @@
             load: load figures in the response, or None.
         """
         self._record_contention(context, selected, seconds, load)
+        if self._evidence is not None:
+            ratio = self._time_ratio(context, selected, seconds, load)
+            self._evidence.on_attempt(
+                selected.candidate.target, context.route.name, False, ratio, seconds
+            )
         route, target = context.route, selected.candidate.target
         self._refusals.on_success(target.service, target.id)
         expected = max(0.001, selected.expected_response_time)
@@ -92,6 +124,46 @@
         if factor >= SLOW_REPORT_FACTOR:
             self._report_target(target.id, 0.0, factor)
 
+    def _time_ratio(
+        self,
+        context: RequestContext,
+        selected: SelectedTarget,
+        seconds: float,
+        load: LoadFigures | None,
+    ) -> float | None:
+        """Returns a duration over the one expected at the stated pace, or None for a cold target.
+
+        The stated pace is late by one request, so the mean of the one before the attempt and the
+        one in its answer is the best estimate. The target's own latency ratio is left out, as it
+        would hide that a version is slow. Cold targets are slow whatever their version.
+        """
+        route, candidate = context.route, selected.candidate
+        if candidate.is_cold:
+            return None
+        paces = candidate.load.pace, (load or candidate.load).pace
+        slots = max(1, candidate.load.slots)
+        expected = self._service_times.expected(route.name, route.target_latency)
+        expected *= math.sqrt(paces[0] * paces[1])
+        expected *= self._contention.of(candidate.target.service).slowdown(
+            self._clock(), selected.busy_slots, slots
+        )
+        return seconds / max(0.001, expected)
+
+    def _record_cancelled_evidence(
+        self, context: RequestContext, selected: SelectedTarget, seconds: float
+    ) -> None:
+        """Counts a cancelled attempt as an answer if it had taken longer than expected.
+
+        Otherwise a slow version would lose its slow answers to hedged requests.
+        """
+        if self._evidence is None:
+            return
+        ratio = self._time_ratio(context, selected, seconds, None)
+        if ratio is not None and ratio >= SLOW_REPORT_FACTOR / 2:
+            ratio *= CANCELLED_DURATION_FACTOR
+            target = selected.candidate.target
+            self._evidence.on_attempt(target, context.route.name, False, ratio, seconds)
+
     def _record_contention(
         self,
         context: RequestContext,
@@ -132,6 +204,7 @@
 
         Attempts cancelled early are ignored, as they do not show that the target is slow.
         """
+        self._record_cancelled_evidence(context, selected, seconds)
         factor = seconds / max(0.001, selected.expected_response_time)
         if factor < SLOW_REPORT_FACTOR / 2:
             return
@@ -141,22 +214,28 @@
         )
         self._report_target(target.id, 0.0, factor * CANCELLED_DURATION_FACTOR)
 
-    def on_failure(self, target: RegisteredTarget, weight: float = 1.0) -> None:
+    def on_failure(self, target: RegisteredTarget, weight: float = 1.0, route: str = "") -> None:
         """Records a failed attempt and reports it to the other nodes.
 
         Args:
             target: the target.
             weight: failures that it counts as.
+            route: name of the route.
         """
+        if self._evidence is not None:
+            self._evidence.on_attempt(target, route, True, None, 0.0)
         self._access.observations(target).on_failure(self._clock(), weight)
         self._report_target(target.id, weight, 0.0)
 
-    def on_refusal(self, target: RegisteredTarget, load: LoadFigures | None) -> None:
+    def on_refusal(
+        self, target: RegisteredTarget, load: LoadFigures | None, route: str = ""
+    ) -> None:
         """Records a refusal with status 503, which is a failure if the target has a free slot.
 
         Args:
             target: the target.
             load: load figures in the response, or None.
+            route: name of the route.
         """
         if load is not None:
             has_free_slot = load.running < load.slots and not load.waiting
@@ -173,4 +252,4 @@
                     weight + self._access.observations(target).failures(self._clock()), 2
                 ),
             )
-            self.on_failure(target, weight)
+            self.on_failure(target, weight, route)
--- a/packages/node/orioleloftd/bootstrap.py
+++ b/packages/node/orioleloftd/bootstrap.py
@@ -8,6 +8,7 @@
 
 from orioleloft_core.entrysettings import EntrySettings
 from orioleloft_core.messages import StoreAccess
+from orioleloft_core.rollouts import Rollouts
 from orioleloft_core.updates import StateUpdate
 from orioleloftd.crasharchive import CrashArchive
 from orioleloftd.logs import log_event
@@ -48,6 +49,7 @@
         store_sync: the store watch.
         crash_archive: reads and saves the blocked requests.
         registrar: registers the node in the store.
+        read_rollouts: reads the orders from the store; returns None without roll-outs.
         spawn: runs a coroutine as a background task.
         clock: returns seconds of the node's clock.
         rng: random number generator for jitter.
@@ -65,6 +67,7 @@
         store_sync: StoreSync,
         crash_archive: CrashArchive,
         registrar: NodeRegistrar,
+        read_rollouts: Callable[[], Awaitable[Rollouts | None]],
         spawn: Callable[[Awaitable[None]], None],
         clock: Callable[[], float],
         rng: random.Random,
@@ -78,6 +81,7 @@
         self._store_sync = store_sync
         self._crash_archive = crash_archive
         self._registrar = registrar
+        self._read_rollouts = read_rollouts
         self._spawn = spawn
         self._clock = clock
         self._rng = rng
@@ -133,8 +137,9 @@
         """
         try:
             # The blocks come first, as with the rest this node begins to serve.
-            _, (table, _), targets, closed = await asyncio.gather(
+            _, rollouts, (table, _), targets, closed = await asyncio.gather(
                 self._crash_archive.load(),
+                self._read_rollouts(),
                 self._store.read_table(allow_stale=True),
                 self._store.read_targets(allow_stale=True),
                 self._store.read_closed_zones(allow_stale=True),
@@ -146,4 +151,4 @@
             # The bootstrap goes on to the watch, which reads the store again.
             _log.exception("initial read failed unexpectedly")
             return
-        self._state.apply_initial(StateUpdate(table, targets, closed))
+        self._state.apply_initial(StateUpdate(table, targets, closed, rollouts))
--- a/packages/node/orioleloftd/queuewaiting.py
+++ b/packages/node/orioleloftd/queuewaiting.py
@@ -204,13 +204,25 @@
             The target, to be used or to be given back by `release_unused`, or why there is none:
             the queue is too long, no target became free in time, or none gets a permit in time.
         """
+        selected = await self._acquire_target(context)
+        if isinstance(selected, SelectedTarget):
+            self._chooser.on_acquired(context)
+        return selected
+
+    async def _acquire_target(self, context: RequestContext) -> SelectedTarget | Rejection:
         service = context.service.name
         queue, demand, now = self._queue(service), self._demand(context), self._clock()
         self._on_asked(queue, service, demand, now)
+        selected = await self._chooser.select_new_version(context)
+        queue, now = self._queue(service), self._clock()
+        if selected is not None:
+            if queue.policy is AdmissionPolicy.DEADLINE:
+                queue.on_unqueued_dispatch(now, demand)
+            self._count_served(queue, demand)
+            return selected
         rejection = self._reject_while_paused(context, demand, now)
         if rejection is not None:
             return rejection
-        selected = None
         if not queue.must_queue(now, demand):
             selected = await self._chooser.select_target(context)
         now = self._clock()
@@ -301,7 +313,7 @@
     ) -> Rejection | None:
         """Rejects a request if all targets of its service have asked for a pause, else None."""
         service, now = context.service.name, self._clock()
-        ends = self._availability.pause_ends(now, self._registry.eligible_targets(service))
+        ends = self._availability.pause_ends(now, self._chooser.admitted_targets(context))
         if ends is None:
             return None
         reason = "all targets have asked for a pause"
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -18,6 +18,7 @@
     TargetList,
 )
 from orioleloft_core.restore import RestoreHold, has_to_hold, lowest_version
+from orioleloft_core.rollouts import Rollouts
 from orioleloft_core.routes import RouteTable
 from orioleloftd.logs import log_event
 
@@ -187,6 +188,17 @@
             named: zones that were closed or opened since the first read after the restore.
         """
 
+    def on_rollouts(self, rollouts: Rollouts) -> None:
+        """Handles the list of orders to move services to versions."""
+
+    def on_outdated_rollouts(self, rollouts: Rollouts, named: frozenset[str]) -> None:
+        """Handles the orders read after a restore of the store, which may be outdated.
+
+        Args:
+            rollouts: the orders.
+            named: services whose order or status changed since the first read after the restore.
+        """
+
 
 class StoreSync:
     """Lists and watches the store's resources while this node is a watcher.
@@ -199,6 +211,7 @@
             watching.
         clock: returns seconds of the node's clock.
         rng: random number generator for backoff jitter.
+        other_resources: classes of further resources to synchronise.
     """
 
     def __init__(
@@ -209,7 +222,9 @@
         on_access: Callable[[StoreAccess], None],
         clock: Callable[[], float],
         rng: random.Random,
+        other_resources: tuple[type["Resource"], ...] = (),
     ) -> None:
+        self._other_resources = other_resources
         self._store = store
         self._listener = listener
         self._is_watcher = is_watcher
@@ -219,16 +234,21 @@
         self._access_changed = asyncio.Condition()
         self._outage_since: float | None = None
         self._is_reading = False
-        self._probing_resource: _Resource | None = None
+        self._probing_resource: Resource | None = None
         self._era: int | None = None
         # Calls in progress; a restore of the store ends those that watch an earlier era.
-        self._polls: dict[_Resource, asyncio.Task] = {}
+        self._polls: dict[Resource, asyncio.Task] = {}
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
         """Starts one background task for each resource of the store."""
         loop = asyncio.get_running_loop()
-        for resource in (_TableResource, _TargetsResource, _ZonesResource):
+        for resource in (
+            _TableResource,
+            _TargetsResource,
+            _ZonesResource,
+            *self._other_resources,
+        ):
             self._tasks.append(
                 loop.create_task(self._run(resource(self._store, self._listener, self)))
             )
@@ -273,7 +293,7 @@
             if resource.revision and StoreRevision.from_number(resource.revision).era < era:
                 poll.cancel()
 
-    async def _run(self, resource: "_Resource") -> None:
+    async def _run(self, resource: "Resource") -> None:
         """Polls a resource while this node is a watcher, with backoff after failed calls."""
         backoff = Backoff(INITIAL_BACKOFF_S, MAX_BACKOFF_S, self._rng)
         while True:
@@ -307,7 +327,7 @@
             await self._on_success()
             await asyncio.sleep(resource.pop_call_delay())
 
-    async def _poll(self, resource: "_Resource") -> None:
+    async def _poll(self, resource: "Resource") -> None:
         self._polls[resource] = asyncio.ensure_future(resource.poll())
         try:
             await self._polls[resource]
@@ -316,7 +336,7 @@
         if resource.revision:
             self.note_era(StoreRevision.from_number(resource.revision).era)
 
-    def _may_call(self, resource: "_Resource") -> bool:
+    def _may_call(self, resource: "Resource") -> bool:
         """Returns whether the task of a resource may call the store now.
 
         Until a call succeeds only one task probes the store on behalf of all (as a half-open
@@ -328,7 +348,7 @@
             self._probing_resource = resource
         return self._is_reading or self._probing_resource is resource
 
-    async def _wait_until_allowed(self, resource: "_Resource") -> None:
+    async def _wait_until_allowed(self, resource: "Resource") -> None:
         if self._probing_resource is resource:
             self._probing_resource = None
             await self.wake_waiting_tasks()
@@ -338,7 +358,7 @@
         async with self._access_changed:
             await self._access_changed.wait_for(lambda: self._may_call(resource))
 
-    def _on_failure(self, started: float, resource: "_Resource", error: StoreError) -> None:
+    def _on_failure(self, started: float, resource: "Resource", error: StoreError) -> None:
         if self._outage_since is None:
             log_event(_log, "store lost", logging.WARNING, part=resource.name, reason=str(error))
             self._outage_since = started
@@ -359,7 +379,7 @@
         self._on_access(StoreAccess.READING)
 
 
-class _Resource:
+class Resource:
     """A resource of the store that is read completely once and then watched.
 
     While its revision is 0, the next call reads it completely.
@@ -417,7 +437,7 @@
         raise NotImplementedError
 
 
-class _TableResource(_Resource):
+class _TableResource(Resource):
     """Synchronises the route table."""
 
     name = "table"
@@ -435,7 +455,7 @@
             self._call_delay = BATCH_DELAY_S
 
 
-class _SnapshotResource(_Resource):
+class SnapshotResource(Resource):
     """A resource that is read as a whole after each change, with few items.
 
     After a restore of the store the snapshot in force is held until operators have had time to
@@ -504,7 +524,7 @@
         raise NotImplementedError
 
 
-class _ZonesResource(_SnapshotResource):
+class _ZonesResource(SnapshotResource):
     """Synchronises the closed availability zones."""
 
     name = "closed zones"
@@ -529,7 +549,7 @@
         self._listener.on_outdated_closed_zones(snapshot, named)
 
 
-class _TargetsResource(_Resource):
+class _TargetsResource(Resource):
     """Synchronises the registered targets.
 
     After an outage or a restore of the store its list may lack targets that are still running,
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -76,6 +76,9 @@
         ["CapacityReport", STATE, [["n1", 88.8]], ["n2", "n3"], 0],
         ["AllotmentQuestion", 7, "n1", 5, "10.0.0.1", [[99, 3], [100, 1]]],
         ["AllotmentAnswer", 7, "n2", [[2, 0.05, 0.25], [0, 0.1, None]]],
+        ["RolloutEvidence", STATE, "s", "k", 7, 1, True, [["r", "", 4, 1, 3, 0, -2, 9, 40]], 0],
+        ["RolloutDirective", STATE, "s", ["n2", "k", 1, 3], 900, 1],
+        ["News", STATE, [None, None, None, [[9, 1], [["s", "v2", 12.0, 4, 9, 1]]]], 0],
     )
     def test_datagrams(self, values):
         """Guards against a renamed class, which nodes of the last release could not decode."""
@@ -151,6 +154,8 @@
                 "CapacityReport": messages.CapacityReport,
                 "AllotmentQuestion": messages.AllotmentQuestion,
                 "AllotmentAnswer": messages.AllotmentAnswer,
+                "RolloutEvidence": messages.RolloutEvidence,
+                "RolloutDirective": messages.RolloutDirective,
             },
         )
 
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -67,6 +67,7 @@
             store_sync=types.SimpleNamespace(start=lambda: None),
             crash_archive=types.SimpleNamespace(load=self._load_blocks, run=mock.Mock()),
             registrar=types.SimpleNamespace(run=mock.AsyncMock()),
+            read_rollouts=mock.AsyncMock(return_value=None),
             spawn=mock.Mock(),
             clock=loop.time,
             rng=rng,
