--- a/tests/support/restorablestore.py
+++ b/tests/support/restorablestore.py
@@ -16,9 +16,11 @@
     PlatformStore,
 )
 from orioleloft_core.entrysettings import Endpoint
+from orioleloft_core.rollouts import VersionGate
 from orioleloft_core.routes import DEFAULT_LIMITS, RouteTable
 from orioleloft_core.updates import StateUpdate
 from orioleloftd.connections import ExchangeError, HttpResponse
+from orioleloftd.rolloutsync import RolloutsResource
 from orioleloftd.sharedstate import ChangeOrigin, SharedState
 from orioleloftd.storesync import StoreSync
 from standins.store import OBJECTS_PATH, StoreEmulator
@@ -75,9 +77,14 @@
         self.is_cut_from_peers = False
         self.is_watcher = False
         self.client = MemoryClient(fleet.emulator)
-        self.store = PlatformStore(Endpoint("store", 1), self.client)
+        self.store = PlatformStore(Endpoint("store", 1), self.client, fleet.bounds is not None)
         self._fleet = fleet
-        self.state = SharedState(self._on_change)
+        self.state = SharedState(
+            self._on_change,
+            lambda rollouts: self.versions.on_rollouts(rollouts),
+            lambda: self.versions.known_versions,
+        )
+        self.versions = VersionGate(fleet.bounds, self.state.registry)
         clock = asyncio.get_running_loop().time
         self.sync = StoreSync(
             self.store,
@@ -86,11 +93,13 @@
             lambda access: None,
             clock,
             random.Random(name),
+            (RolloutsResource,) if self.versions.is_enabled else (),
         )
         self.sync.start()
 
     def _on_change(self, origin):
         self.sync.note_era(self.state.era)
+        self.versions.refresh()
         if origin is ChangeOrigin.STORE:
             self._fleet.spread(self)
 
@@ -123,7 +132,8 @@
 class Fleet:
     """Nodes that tell each other of changes at once and compare their versions periodically."""
 
-    def __init__(self, names, watchers):
+    def __init__(self, names, watchers, bounds=None):
+        self.bounds = bounds
         self.emulator = StoreEmulator(asyncio.get_running_loop().time)
         self.emulator.sends_era = True
         self.nodes = {}
