--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -20,6 +20,7 @@
 from orioleloft_core.ratelimits import AnswerKind, RateLimitNotice, RateLimits
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
 from orioleloft_core.retrybudget import RetryBudget
+from orioleloft_core.rollouts import VersionGate
 from orioleloft_core.routes import Route, RouteTable
 from orioleloft_core.selection import ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
@@ -33,7 +34,7 @@
     Public,
     Unrestricted,
 )
-from orioleloftd.attemptrecorder import AttemptRecorder
+from orioleloftd.attemptrecorder import AttemptEvidence, AttemptRecorder
 from orioleloftd.availabilityrecorder import AvailabilityRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
 from orioleloftd.logs import log_event
@@ -101,6 +102,8 @@
         clock: seconds on the node's clock.
         rng: source of randomness.
         admission: order of admission while the route table has no tenants.
+        versions: decides which versions of targets get requests.
+        evidence: receives what attempts show of versions, or None.
     """
 
     def __init__(
@@ -125,6 +128,8 @@
         clock: Callable[[], float],
         rng: random.Random,
         admission: AdmissionPolicy = AdmissionPolicy.ARRIVAL,
+        versions: VersionGate | None = None,
+        evidence: AttemptEvidence | None = None,
     ) -> None:
         self._admission = admission
         self._wire = wire
@@ -160,6 +165,7 @@
         self._service_times = ServiceTimes()
         self._contention = ContentionCurves()
         permits = PermitScheduler(rate_limits, self._access.observations, zones, rng)
+        versions = versions or VersionGate(None, registry)
         self._chooser = TargetChooser(
             access=self._access,
             registry=registry,
@@ -178,6 +184,7 @@
             probe_budget=probe_budget,
             availability=self._availability,
             clock=clock,
+            versions=versions,
         )
         self._waiting = QueueWaiting(
             chooser=self._chooser,
@@ -199,6 +206,7 @@
             report_target,
             clock,
             self._admission_policy,
+            evidence,
         )
         self._caller_retries = CallerRetryDetector()
         self._crash_checks: set[asyncio.Task] = set()
@@ -550,9 +558,11 @@
                 selected.connection.close()
                 return _EndedAttempt(AttemptResult(AttemptEnd.NOT_SENT), target)
             if error.is_oversized:
-                self._recorder.on_failure(target, OVERSIZED_RESPONSE_WEIGHT)
+                self._recorder.on_failure(
+                    target, OVERSIZED_RESPONSE_WEIGHT, route=context.route.name
+                )
                 return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
             check = self._start_crash_check(context, target)
             if context.route.is_idempotent:
                 # A retry that runs ahead of the check could crash one target more than allowed.
@@ -566,7 +576,7 @@
             # A defect that one target triggers must not end the request.
             _log.exception("attempt failed unexpectedly")
             selected.connection.close()
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
             return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
 
     async def _exchange(
@@ -629,19 +639,19 @@
             self._access.release(target, connection)
         if metadata.is_not_executed:
             if response.status != 503:
-                self._recorder.on_failure(target)
+                self._recorder.on_failure(target, route=context.route.name)
             elif self._admission_policy() is AdmissionPolicy.DEADLINE:
-                self._recorder.on_refusal(target, metadata.load)
+                self._recorder.on_refusal(target, metadata.load, context.route.name)
             return _EndedAttempt(
                 AttemptResult(AttemptEnd.REFUSED, response.status), target, response
             )
         if not metadata.has_identity_encoding or (
             response.status < 300 and not metadata.has_signature
         ):
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
             return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
         if response.status >= 500:
-            self._recorder.on_failure(target)
+            self._recorder.on_failure(target, route=context.route.name)
         else:
             self._clear_evidence(request)
             self._recorder.on_success(context, selected, now - started_at, metadata.load)
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -99,6 +99,7 @@
         probe_count: number of probes sent in the last round.
         candidates: targets that responded in the last round, with their load.
         authorization: judgement of the request before its last dispatch.
+        is_chosen: whether its first attempt goes to the version that is being rolled out.
     """
 
     request: CallerRequest
@@ -112,6 +113,7 @@
     probe_count: int = 0
     candidates: tuple[ProbedTarget, ...] = ()
     authorization: Authorization = UNRESTRICTED
+    is_chosen: bool = False
 
     @property
     def tenant(self) -> Tenant | None:
--- a/packages/node/orioleloftd/sharedstate.py
+++ b/packages/node/orioleloftd/sharedstate.py
@@ -1,4 +1,4 @@
-"""Route table, registered targets and closed zones that are in force on this node.
+"""Route table, registered targets, closed zones and roll-outs in force on this node.
 
 Updates come from the store, if this node is a watcher, and from other nodes. Versions are
 monotonic: an older one never replaces a newer one, in whatever order updates arrive. After a
@@ -21,6 +21,8 @@
     defer_removals,
 )
 from orioleloft_core.restore import TargetMemory, ZoneMemory
+from orioleloft_core.rolloutrestore import RolloutMemory
+from orioleloft_core.rollouts import Rollouts, ServiceVersions
 from orioleloft_core.routes import RouteTable
 from orioleloft_core.updates import (
     StateUpdate,
@@ -53,16 +55,27 @@
 
     Args:
         on_change: called after each change with its origin.
+        on_rollouts: called with each newer snapshot of the roll-outs.
+        known_versions: returns the versions of services that need no order.
     """
 
-    def __init__(self, on_change: Callable[[ChangeOrigin], None]) -> None:
+    def __init__(
+        self,
+        on_change: Callable[[ChangeOrigin], None],
+        on_rollouts: Callable[[Rollouts], None] = lambda rollouts: None,
+        known_versions: Callable[[], tuple[ServiceVersions, ...]] = tuple,
+    ) -> None:
         self._on_change = on_change
+        self._on_rollouts = on_rollouts
+        self._known_versions = known_versions
+        self._rollouts = Rollouts(StateVersion(), ())
         self._table: RouteTable | None = None
         self._registry = TargetRegistry()
         self._table_history = TableHistory()
         self._target_history = TargetHistory()
         self._target_memory = TargetMemory()
         self._zone_memory = ZoneMemory()
+        self._rollout_memory = RolloutMemory()
 
     @property
     def table(self) -> RouteTable | None:
@@ -86,13 +99,14 @@
             self._table.version if self._table else 0,
             self._registry.target_list.version,
             self._registry.closed_zones.version,
+            self._rollouts.version,
         )
 
     @property
     def era(self) -> int:
         """Highest era of the store that this node has seen in a part of the state."""
         versions = self.state_versions
-        return max(versions.targets.era, versions.closed_zones.era)
+        return max(versions.targets.era, versions.closed_zones.era, versions.rollouts.era)
 
     # Results from the store; see `storesync.StoreListener`.
 
@@ -146,16 +160,38 @@
         if self._replace_closed_zones(held, STORE):
             self._on_change(ChangeOrigin.STORE)
 
+    def on_rollouts(self, rollouts: Rollouts) -> None:
+        """Replaces the roll-outs if the given ones are newer."""
+        if self._replace_rollouts(rollouts, STORE):
+            self._on_change(ChangeOrigin.STORE)
+
+    def on_outdated_rollouts(self, rollouts: Rollouts, named: frozenset[str]) -> None:
+        """Keeps the roll-outs in force and takes only what the copy cannot revert.
+
+        Args:
+            rollouts: the orders read from the restored store.
+            named: services whose orders events of the new era have changed.
+        """
+        if self._replace_rollouts(
+            self._rollout_memory.held(self._rollouts, rollouts, named), STORE
+        ):
+            self._on_change(ChangeOrigin.STORE)
+
     # Updates from other nodes, and the initial read.
 
     def apply_initial(self, update: StateUpdate) -> None:
         """Applies the result of the initial read, which is not disseminated."""
-        targets, closed = update.targets, update.closed_zones
+        targets, closed, rollouts = update.targets, update.closed_zones, update.rollouts
         if targets is not None:
             targets = dataclasses.replace(targets, version=restore.lowest_version(targets.version))
         if closed is not None:
             closed = dataclasses.replace(closed, version=restore.lowest_version(closed.version))
-        update = dataclasses.replace(update, targets=targets, closed_zones=closed)
+        if rollouts is not None:
+            version = restore.lowest_version(rollouts.version)
+            rollouts = dataclasses.replace(rollouts, version=version)
+        update = dataclasses.replace(
+            update, targets=targets, closed_zones=closed, rollouts=rollouts
+        )
         if self._apply_parts(update, STORE):
             self._on_change(ChangeOrigin.INITIAL_READ)
 
@@ -173,6 +209,8 @@
 
     def _apply_parts(self, update: StateUpdate, source: str) -> bool:
         before = self.state_versions
+        if update.rollouts is not None:
+            self._replace_rollouts(self._merged_rollouts(update.rollouts), source)
         match update.table:
             case RouteTable() as table:
                 self._replace_table(table, source)
@@ -202,6 +240,12 @@
             return new
         return self._zone_memory.held(self._registry.closed_zones, new)
 
+    def _merged_rollouts(self, new: Rollouts) -> Rollouts:
+        """Returns another node's roll-outs, merged as `_merged_targets` merges targets."""
+        if not restore.is_lowest_version(new.version):
+            return new
+        return self._rollout_memory.held(self._rollouts, new)
+
     def update_since(self, known: StateVersions) -> StateUpdate:
         """Returns the update, in deltas where possible, for a node with the given versions."""
         table, targets, closed = None, None, None
@@ -212,7 +256,10 @@
             targets = self._target_history.update_since(known.targets, newest)
         if self._registry.closed_zones.version > known.closed_zones:
             closed = self._registry.closed_zones
-        return StateUpdate(table, targets, closed)
+        rollouts = None
+        if self._rollouts.version > known.rollouts:
+            rollouts = dataclasses.replace(self._rollouts, known=self._known_versions())
+        return StateUpdate(table, targets, closed, rollouts)
 
     # Replacement of single parts.
 
@@ -271,3 +318,17 @@
         if closed.zones != before.zones:
             log_event(_log, "closed zones in force", zones=closed.zones, source=source)
         return True
+
+    def _replace_rollouts(self, rollouts: Rollouts, source: str) -> bool:
+        if rollouts.version <= self._rollouts.version:
+            return False
+        before, self._rollouts = self._rollouts, rollouts
+        self._rollout_memory.observe(before, rollouts)
+        self._on_rollouts(rollouts)
+        if rollouts.orders != before.orders:
+            orders = {
+                order.service: f"{order.target_version} {order.state.name.lower()}"
+                for order in rollouts.orders
+            }
+            log_event(_log, "rollouts in force", orders=orders, source=source)
+        return True
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -7,6 +7,7 @@
 from orioleloft_core.permits import PermitScheduler
 from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.registry import RegisteredTarget, TargetRegistry
+from orioleloft_core.rollouts import VersionGate
 from orioleloft_core.routes import RoutedService
 from orioleloft_core.selection import FIRST_ROUND_PROBES, ProbedTarget, TargetSelector
 from orioleloft_core.servicetime import ServiceTimes
@@ -39,6 +40,7 @@
         probe_budget: token bucket for the probes of this node.
         availability: decides whether a target may be asked.
         clock: seconds on the node's clock.
+        versions: decides which versions of targets get requests.
     """
 
     def __init__(
@@ -55,7 +57,9 @@
         probe_budget: TokenBucket,
         availability: TargetAvailability,
         clock: Callable[[], float],
+        versions: VersionGate,
     ) -> None:
+        self._versions = versions
         self._access = access
         self._registry = registry
         self._selector = selector
@@ -86,28 +90,72 @@
         now = self._clock()
         targets = [
             target
-            for target in self._registry.eligible_targets(service.name)
+            for target in self._admitted_targets(service.name, is_chosen=False)
             if self._availability.withdrawal(now, target) is None
         ]
         for target in self._permits.take_idle(self._clock(), targets):
             task = self._start_probe(target, service, has_permit=True)
             task.add_done_callback(self._access.release_late_probe)
 
+    def _admitted_targets(self, service: str, is_chosen: bool) -> list[RegisteredTarget]:
+        targets = self._registry.eligible_targets(service)
+        return self._versions.admitted(self._clock(), service, targets, is_chosen)
+
+    def admitted_targets(self, context: RequestContext) -> list[RegisteredTarget]:
+        """Returns the eligible targets of the versions that may get a request."""
+        return self._admitted_targets(context.service.name, self._is_chosen(context))
+
     def untried_targets(self, context: RequestContext) -> list[RegisteredTarget]:
-        """Returns the eligible targets to which a request has not been sent yet."""
+        """Returns the admitted targets to which a request has not been sent yet."""
         now = self._clock()
         return [
             target
-            for target in self._registry.eligible_targets(context.service.name)
+            for target in self.admitted_targets(context)
             if target.id not in context.tried_target_ids
             and self._availability.withdrawal(now, target) is None
         ]
 
+    async def select_new_version(self, context: RequestContext) -> SelectedTarget | None:
+        """Selects a target of the new version if the request is within the version's share.
+
+        If none can take it now, the request goes to the old versions like all others. A late
+        response is accepted, as there would soon be no evidence on a slow version otherwise.
+        """
+        service = context.service.name
+        if context.attempt_count or not self._versions.choose(self._clock(), service):
+            return None
+        context.is_chosen = True
+        selected = None
+        try:
+            selected = await self._use_permit(context) or await self.probe_candidates(
+                context, accepts_late_response=True
+            )
+        finally:
+            if selected is None:
+                context.is_chosen = False
+                self._versions.give_back(self._clock(), service)
+        return selected
+
+    def on_acquired(self, context: RequestContext) -> None:
+        """Counts a request that is about to be sent, for the share of a new version."""
+        if not context.attempt_count:
+            self._versions.on_first_attempt(context.service.name)
+
+    def _is_admitted(self, context: RequestContext, target: RegisteredTarget) -> bool:
+        """Whether a target that was found earlier may still get the request, by its version."""
+        return self._versions.admits(self._clock(), target, self._is_chosen(context))
+
+    def _is_chosen(self, context: RequestContext) -> bool:
+        # Retries and hedges of a chosen request go to the old versions.
+        return context.is_chosen and not context.attempt_count
+
     def can_hand_over(self, candidate: ProbedTarget, connection: Connection) -> bool:
         """Whether a target on which a request has just ended can take one from the queue."""
         now = self._clock()
         is_free = self._selector.has_free_slot(now, candidate) and connection.is_usable
-        return is_free and self._may_hand_over(now, candidate.target)
+        # A queued request is none that was chosen for a new version.
+        is_admitted = self._versions.admits(now, candidate.target, is_chosen=False)
+        return is_free and is_admitted and self._may_hand_over(now, candidate.target)
 
     def _may_hand_over(self, now: float, target: RegisteredTarget) -> bool:
         """Whether a request may take over a slot of a target that another one has freed.
@@ -130,8 +178,10 @@
         service_time = self._service_times.expected(
             context.route.name, context.route.target_latency
         )
-        is_eligible = candidate.target.id not in context.tried_target_ids and self._may_hand_over(
-            now, candidate.target
+        is_eligible = (
+            candidate.target.id not in context.tried_target_ids
+            and self._is_admitted(context, candidate.target)
+            and self._may_hand_over(now, candidate.target)
         )
         if not (
             is_eligible
@@ -180,6 +230,7 @@
         now = self._clock()
         if (
             self._availability.unavailability(now, best.target, has_permit=True) is not None
+            or not self._is_admitted(context, best.target)
             or context.deadline - now < MIN_TIME_TO_DEADLINE_S
         ):
             self._access.release(best.target, connection)
@@ -283,6 +334,7 @@
             for candidate, connection in responsive.items()
             if connection.is_usable
             and self._availability.unavailability(now, candidate.target) is None
+            and self._is_admitted(context, candidate.target)
             and self._selector.has_free_slot(now, candidate)
             and self._is_response_acceptable(
                 context, candidate, now, service_time, accepts_late_response
