Spread the returns of refused callers with short timeouts

Cause: a caller returns within half of the time it has left, and after 0.2 s at the earliest. With 0.2 to 0.4 s left both bounds gave 0.2 s exactly, so callers refused in one burst returned in one.

Change: where half of the time left is short, the range ends at 0.3 s or at the end of the time left. Callers with less than 0.2 s left still get 0.2 s.

--- a/packages/core/orioleloft_core/refusalreturns.py
+++ b/packages/core/orioleloft_core/refusalreturns.py
@@ -23,6 +23,8 @@
 # Part of the time that a caller has left in which it returns at the latest, as the answer needs the
 # rest.
 MAX_RETURN_FRACTION = 0.5
+# Least end of the range of the time to return for callers with little time left, in seconds.
+SHORT_RETURN_END_S = 1.5 * MIN_RETRY_AFTER_S
 # Range of the time to return while no rate is known, in seconds.
 UNKNOWN_RATE_RETRY_AFTER_S = (0.4, 1.3)
 
@@ -93,6 +95,8 @@
             delay = self._rng.uniform(earliest, 1.3 * earliest)
         latest = MAX_RETURN_FRACTION * time_left
         if delay > latest:
-            # Random, so that callers with the same time left do not return together.
-            delay = self._rng.uniform(latest / 2, latest)
+            # Random, so that callers with the same time left do not return together. Half of a
+            # short time is less than the least time to return, so the range ends later then.
+            end = max(latest, min(time_left, SHORT_RETURN_END_S))
+            delay = self._rng.uniform(min(end, max(MIN_RETRY_AFTER_S, latest / 2)), end)
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, delay))
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -55,6 +55,15 @@
             self.assertGreaterEqual(seconds, MIN_RETRY_AFTER_S)
             self.assertLessEqual(seconds, max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, time_left)))
 
+    @params(0.25, 0.3, 0.4, 0.5)
+    def test_spread_of_short_times(self, time_left):
+        """Guards against callers with short timeouts that all return at the same instant."""
+        returns = returns_with_rates(20, 10)
+        times = [returns.retry_after(10.0, 0.3, time_left) for _ in range(100)]
+        self.assertGreater(len(set(times)), 90)
+        self.assertGreater(max(times) - min(times), 0.4 * min(0.1, time_left - MIN_RETRY_AFTER_S))
+        self.assertLessEqual(max(times), time_left)
+
     def test_return_is_recognised(self):
         """Guards against returning callers that count as new ones and displace these."""
         self.assertLess(1 - MIN_LATE_RETURN_FRACTION, MAX_RETRY_TIMEOUT_FRACTION)
