Reduce the processor time of the order by deadline

Cause: with its queue at the bound of 200 requests, each arrival looks up the kinds of all waiting requests, by the hash and comparison of a data class, and sorts them all for the guaranteed shares even if few are of a short kind.

Change: a kind is a named tuple, and only the requests of short kinds are considered for the guaranteed shares. Decisions are the same: equal digests of 8,000 admissions with 73 tenants and 12 routes, and of 15 runs in memory.

Measured (160 to 200 waiting, best mean of 4 runs): an arrival with its dispatch or refusal took 281 us, now 196 us; while nothing is dispatched 243 us, now 176 us.

--- a/packages/core/orioleloft_core/deadlineorder.py
+++ b/packages/core/orioleloft_core/deadlineorder.py
@@ -273,10 +273,11 @@
             for kind in entry.kinds:
                 if kind not in open_shortfalls:
                     open_shortfalls[kind] = self._shares.shortfall(now, kind)
-        if not any(open_shortfalls.values()):
+        short = {kind for kind, shortfall in open_shortfalls.items() if shortfall > 0}
+        if not short:
             return {}
         protected: dict[_Entry, float] = {}
-        for entry in sorted(entries, key=_quality):
+        for entry in sorted(_of_kinds(entries, short), key=_quality):
             due = max(open_shortfalls[kind] for kind in entry.kinds)
             if due >= 1.0:
                 protected[entry] = due
@@ -311,10 +312,8 @@
                     shortfalls[kind] = self._shares.shortfall(now, kind)
         greatest = max(shortfalls.values())
         if greatest > 0:
-            due = [
-                each for each in entries if max(shortfalls[kind] for kind in each.kinds) == greatest
-            ]
-            return min(due, key=_quality)
+            shortest = {kind for kind, shortfall in shortfalls.items() if shortfall == greatest}
+            return min(_of_kinds(entries, shortest), key=_quality)
         tags: dict[tuple[int, str], int] = {}
         for each in entries:
             key = each.priority, each.tenant
@@ -400,6 +399,11 @@
         }
 
 
+def _of_kinds(entries: list[_Entry], kinds: set[Kind]) -> list[_Entry]:
+    """Returns the entries that are of at least one of some kinds."""
+    return [entry for entry in entries if not kinds.isdisjoint(entry.kinds)]
+
+
 def _quality(entry: _Entry) -> tuple:
     """Returns a key that is smallest for the request that is served first within its kind."""
     request = entry.request
--- a/packages/core/orioleloft_core/servedshares.py
+++ b/packages/core/orioleloft_core/servedshares.py
@@ -1,7 +1,7 @@
 """Guaranteed shares: how often requests of each kind are served, compared with all requests."""
 
-import dataclasses
 import enum
+from typing import NamedTuple
 
 # Half-life of the counts, in seconds.
 SHARE_HALF_LIFE_S = 10.0
@@ -26,9 +26,12 @@
     LATE = "late"
 
 
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """Requests of one route or tenant, or all late ones."""
+class Kind(NamedTuple):
+    """Requests of one route or tenant, or all late ones.
+
+    A tuple, as kinds are looked up for each waiting request at each change of the queue; the hash
+    and comparison of a data class took a quarter of the time of an admission.
+    """
 
     type: KindType
     name: str = ""
