--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -88,12 +88,9 @@
     def _probe_with_idle_permits(self, service: RoutedService) -> None:
         """Probes the targets for which this node has had a permit and no request for some time."""
         now = self._clock()
-        targets = [
-            target
-            for target in self._admitted_targets(service.name, is_chosen=False)
-            if self._availability.withdrawal(now, target) is None
-        ]
-        for target in self._permits.take_idle(self._clock(), targets):
+        targets = self._admitted_targets(service.name, is_chosen=False)
+        targets = self._availability.not_withdrawn(now, targets)
+        for target in self._permits.take_idle(now, targets):
             task = self._start_probe(target, service, has_permit=True)
             task.add_done_callback(self._access.release_late_probe)
 
@@ -107,13 +104,12 @@
 
     def untried_targets(self, context: RequestContext) -> list[RegisteredTarget]:
         """Returns the admitted targets to which a request has not been sent yet."""
-        now = self._clock()
-        return [
+        untried = [
             target
             for target in self.admitted_targets(context)
             if target.id not in context.tried_target_ids
-            and self._availability.withdrawal(now, target) is None
         ]
+        return self._availability.not_withdrawn(self._clock(), untried)
 
     async def select_new_version(self, context: RequestContext) -> SelectedTarget | None:
         """Selects a target of the new version if the request is within the version's share.
