Read-only counterparts of decisions that change state

Cause: an explanation of where a request would go must change nothing at the node that is asked, but most decisions count, prune, cache or draw random numbers.

`SlowStartLimiter.may_send` no longer stores the pruned list; `on_sent` prunes instead. Sequence numbers are integers, which can be copied.

--- a/packages/core/orioleloft_core/admissionorder.py
+++ b/packages/core/orioleloft_core/admissionorder.py
@@ -1,5 +1,6 @@
 """Interface of the orders of admission, and the order of arrival behind it."""
 
+import copy
 import dataclasses
 from collections.abc import Iterable, Mapping
 from typing import Any, Protocol
@@ -133,6 +134,15 @@
         """Returns the inputs of a refusal, for the log."""
 
 
+def snapshot(order: AdmissionOrder) -> AdmissionOrder:
+    """Returns a copy of an order, which can admit a request without effect on those that wait.
+
+    The copied requests share the handles of the original ones; the copy must dispatch none.
+    """
+    handles = {id(request.handle): request.handle for request in order.waiting}
+    return copy.deepcopy(order, handles)
+
+
 class ArrivalOrder:
     """The order of arrival: passes all calls to an `AdmissionQueue`.
 
--- a/packages/core/orioleloft_core/admissionqueue.py
+++ b/packages/core/orioleloft_core/admissionqueue.py
@@ -8,7 +8,6 @@
 import collections
 import dataclasses
 import enum
-import itertools
 from typing import Any
 
 # Window over which the dispatch rate of the service is determined, in seconds.
@@ -73,7 +72,7 @@
 
     def __init__(self) -> None:
         self._queue: list[QueuedRequest] = []
-        self._sequence = itertools.count()
+        self._next_order = 0
         self._dispatched_at: collections.deque[float] = collections.deque(
             maxlen=MAX_WINDOW_DISPATCHES
         )
@@ -140,7 +139,8 @@
         rate = len(self._dispatched_at) / DISPATCH_RATE_WINDOW_S
         if ahead >= max(MIN_QUEUE_LIMIT, rate * (wait_deadline - now)):
             return None
-        request = QueuedRequest(rank, wait_deadline, handle, next(self._sequence))
+        request = QueuedRequest(rank, wait_deadline, handle, self._next_order)
+        self._next_order += 1
         self.requeue(request)
         return request
 
--- a/packages/core/orioleloft_core/allotmentclient.py
+++ b/packages/core/orioleloft_core/allotmentclient.py
@@ -94,6 +94,25 @@
 Outcome = Taken | Exceeded | Unavailable | Ask
 
 
+@dataclasses.dataclass(frozen=True)
+class AllotmentState:
+    """What a node knows of the allotment of one tenant.
+
+    Attributes:
+        tokens: unspent tokens at this node.
+        waiting: requests of the tenant that wait for a token.
+        may_ask: whether a request without a token asks a holder, or waits for an answer.
+        room_in: seconds until a holder that has refused has its next token, or None.
+        holder: name of the holder in the zone of this node, or None.
+    """
+
+    tokens: int
+    waiting: int
+    may_ask: bool
+    room_in: float | None
+    holder: str | None
+
+
 class _Tokens:
     """Tokens of one tenant at this node, by the time at which they lapse."""
 
@@ -105,6 +124,10 @@
             del self._lots[0]
         return int(sum(lot[1] for lot in self._lots))
 
+    def peek(self, now: float) -> int:
+        """Returns the number of tokens like `count`, but keeps those that have lapsed."""
+        return int(sum(count for expires_at, count in self._lots if expires_at > now))
+
     def add(self, expires_at: float, count: int) -> None:
         bisect.insort(self._lots, [expires_at, count])
 
@@ -304,6 +327,34 @@
             return self._refuse(now, state)
         return Ask()
 
+    def peek(self, now: float, name: str) -> AllotmentState | None:
+        """Returns what `take` would find for a tenant, without taking or counting anything.
+
+        Returns:
+            None if the tenant has no allotment here.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return None
+        chosen = self._view.peek()
+        rooms = [
+            refusal.room_at - now
+            for holder, refusal in state.refusals.items()
+            if holder in chosen.values()
+            and refusal.room_at is not None
+            and refusal.until > now - ANSWER_TIMEOUT_S
+        ]
+        may_ask = bool(state.pending) or any(
+            self._ask_at(now, state, holder) <= now for holder in chosen.values()
+        )
+        return AllotmentState(
+            tokens=state.tokens.peek(now),
+            waiting=state.waiting,
+            may_ask=may_ask and now >= state.refused_until,
+            room_in=max(0.0, min(rooms)) if rooms else None,
+            holder=chosen.get(self._zone),
+        )
+
     def set_waiting(self, name: str, count: int) -> None:
         """Sets the number of requests that wait for a token of a tenant."""
         state = self._states.get(name)
--- a/packages/core/orioleloft_core/allotments.py
+++ b/packages/core/orioleloft_core/allotments.py
@@ -120,6 +120,11 @@
             self._seen = zones
         return self._holders
 
+    def peek(self) -> dict[str, str]:
+        """Returns the holder of each zone without keeping what was computed."""
+        zones = self._zones()
+        return self._holders if zones is self._seen else holders(zones)
+
     def replaced_by(self, node: str) -> str | None:
         """Returns the node that would hold the part of a node's zone without it, or None."""
         zones = self._zones()
@@ -191,6 +196,10 @@
         self._tokens = min(self._cap, self._tokens + added)
         self._refilled_at = max(now, self._refilled_at)
 
+    def available(self, now: float) -> float:
+        """Returns the tokens in the bucket at a time, without taking any."""
+        return min(self._cap, self._tokens + max(0.0, now - self._refilled_at) * self._rate)
+
     def take(self, now: float, node: str, count: int) -> TenantGrant:
         """Takes up to `count` tokens, or the node's part by demand if there are too few for all."""
         self._refill(now)
@@ -349,6 +358,14 @@
             return TenantGrant(0, UNKNOWN_WAIT_S, None)
         return bucket.take(now, asker, min(demand.count, MAX_COUNT))
 
+    def available(self, now: float, name: str) -> float | None:
+        """Returns the tokens of a tenant that this holder has left, or None if it grants none.
+
+        Nothing is taken, and the node does not begin to hold its part by it.
+        """
+        bucket = self._buckets.get(tenant_key(name))
+        return bucket.available(now) if bucket is not None and self._is_holding else None
+
     def _drop_old_answers(self, now: float) -> None:
         while self._answers:
             oldest = next(iter(self._answers))
--- a/packages/core/orioleloft_core/budget.py
+++ b/packages/core/orioleloft_core/budget.py
@@ -21,6 +21,13 @@
         self._tokens = 0.0
         self._refilled_at: float | None = None
 
+    def available(self, now: float) -> float:
+        """Returns the tokens in the bucket at a time, without taking any."""
+        if self._refilled_at is None:
+            return self._burst()
+        added = max(0.0, now - self._refilled_at) * self._rate_per_second()
+        return min(self._burst(), self._tokens + added)
+
     def take(self, now: float) -> bool:
         """Takes one token; returns False if there is none.
 
--- a/packages/core/orioleloft_core/callerretries.py
+++ b/packages/core/orioleloft_core/callerretries.py
@@ -20,6 +20,12 @@
     def __init__(self) -> None:
         self._longest: dict[str, tuple[float, float]] = {}
 
+    def snapshot(self) -> "CallerRetryDetector":
+        """Returns a copy, which can be asked without recording a timeout here."""
+        copied = CallerRetryDetector()
+        copied._longest = dict(self._longest)
+        return copied
+
     def is_caller_retry(self, now: float, route: str, timeout: float) -> bool:
         """Whether a request is most likely a retry of its caller; records its timeout.
 
--- a/packages/core/orioleloft_core/contention.py
+++ b/packages/core/orioleloft_core/contention.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import copy
 import dataclasses
 import itertools
 import math
@@ -212,6 +213,14 @@
         sums.add(bin_index(observation.busy, observation.slots), log)
         self._unreported_count += 1
 
+    def snapshot(self) -> "ContentionCurve":
+        """Returns a copy, which can be asked without effect on the decay and the curve in use."""
+        copied = copy.copy(self)
+        copied._routes = copy.deepcopy(self._routes)
+        copied._peers = dict(self._peers)
+        copied._limits = dict(self._limits)
+        return copied
+
     def statistics(self, now: float) -> tuple[RouteStatistics, ...]:
         """Returns the observations of this node, to be sent to other nodes."""
         self._decay(now)
@@ -336,6 +345,13 @@
             curve = self._curves[service] = ContentionCurve()
         return curve
 
+    def snapshot(self, service: str) -> "ContentionCurves":
+        """Returns copies of the curve of one service; see `ContentionCurve.snapshot`."""
+        copied = ContentionCurves()
+        if service in self._curves:
+            copied._curves[service] = self._curves[service].snapshot()
+        return copied
+
     def unreported(self, minimum: int) -> list[str]:
         """Returns the services with at least `minimum` observations not yet sent to other nodes."""
         return [
--- a/packages/core/orioleloft_core/deadlineorder.py
+++ b/packages/core/orioleloft_core/deadlineorder.py
@@ -6,7 +6,6 @@
 those that need the most work.
 """
 
-import itertools
 from collections.abc import Mapping
 from typing import Any
 
@@ -76,7 +75,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[WaitingRequest, _Entry] = {}
-        self._sequence = itertools.count()
+        self._next_order = 0
         self._demand = TenantDemand()
         self._fair_share = FairShare(self._demand)
         self._shares = ServedShares()
@@ -178,7 +177,8 @@
         self, now: float, demand: RequestDemand, wait_deadline: float, handle: Any
     ) -> Admission:
         """Adds a request, then refuses those for which there is no room; see `_plan`."""
-        request = WaitingRequest(demand, wait_deadline, handle, next(self._sequence))
+        request = WaitingRequest(demand, wait_deadline, handle, self._next_order)
+        self._next_order += 1
         request.priority = self._priority(now, demand)
         self._add(request)
         refused = self._plan(now)
--- a/packages/core/orioleloft_core/observations.py
+++ b/packages/core/orioleloft_core/observations.py
@@ -82,6 +82,11 @@
         """Whether the last answer had a load report, or None before the first answer."""
         return self._reports_load
 
+    @property
+    def last_load(self) -> tuple[LoadFigures, float] | None:
+        """The last load report or estimate with its time on the node's clock, or None."""
+        return None if self._load is None else (self._load, self._load_at)
+
     def on_load_report(self, now: float, load: LoadFigures) -> None:
         """Records a load report, which replaces the previous one."""
         self._record_load(now, load)
--- a/packages/core/orioleloft_core/permits.py
+++ b/packages/core/orioleloft_core/permits.py
@@ -1,10 +1,12 @@
 """Use of the permits for targets with rate limits: who gets them, and when others may return."""
 
+import copy
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from orioleloft_core import placement
+from orioleloft_core.middlerandom import MiddleRandom
 from orioleloft_core.observations import LoadFigures, TargetObservations
 from orioleloft_core.ratelimits import RateLimits, owner_rate
 from orioleloft_core.registry import RegisteredTarget
@@ -99,6 +101,22 @@
         schedule = self._return_schedules.setdefault(service, ReturnSchedule(self._rng))
         return schedule.next_delay(now, rate, earliest)
 
+    def snapshot(
+        self,
+        rate_limits: RateLimits,
+        observations: Callable[[RegisteredTarget], TargetObservations],
+    ) -> "PermitScheduler":
+        """Returns a copy that can be asked without effect on the times of rejected callers.
+
+        Args:
+            rate_limits: a snapshot of the rate limits.
+            observations: returns the observations of a target without creating them.
+        """
+        rng = MiddleRandom()
+        copied = PermitScheduler(rate_limits, observations, self._zones, rng)
+        copied._return_schedules = copy.deepcopy(self._return_schedules, {id(self._rng): rng})
+        return copied
+
     def take_idle(self, now: float, targets: Iterable[RegisteredTarget]) -> list[RegisteredTarget]:
         """Uses the permits that no request has used for some time, and returns their targets."""
         idle = [
--- a/packages/core/orioleloft_core/ratelimits.py
+++ b/packages/core/orioleloft_core/ratelimits.py
@@ -9,6 +9,7 @@
 Permits are used by ordinary requests, whose answers also show when the limit changes or ends.
 """
 
+import copy
 import dataclasses
 import enum
 import re
@@ -324,6 +325,12 @@
             return first_at
         return max(first_at, state.last_permit_at + interval)
 
+    def snapshot(self) -> "RateLimits":
+        """Returns a copy, of which permits can be asked without effect on this node's."""
+        copied = copy.copy(self)
+        copied._states = {key: copy.copy(state) for key, state in self._states.items()}
+        return copied
+
     def _update_ownership(self, now: float, target: RegisteredTarget, state: _LimitState) -> None:
         zones = self._zones()
         if state.zones is zones:
--- a/packages/core/orioleloft_core/refusalreturns.py
+++ b/packages/core/orioleloft_core/refusalreturns.py
@@ -1,8 +1,10 @@
 """Time to return for refused callers, from the rate at which work ends and earlier refusals."""
 
 import collections
+import copy
 import random
 
+from orioleloft_core.middlerandom import MiddleRandom
 from orioleloft_core.returnschedule import MAX_RETURN_S, ReturnSchedule
 
 # Window in which ended and new requests are counted, in seconds.
@@ -60,6 +62,10 @@
         self._ended = _Rate()
         self._new = _Rate()
 
+    def snapshot(self) -> "RefusalReturns":
+        """Returns a copy, which can be asked without taking a time of the schedule."""
+        return copy.deepcopy(self, {id(self._rng): MiddleRandom()})
+
     def on_ended(self, now: float) -> None:
         """Counts a request that has ended at a target."""
         self._ended.add(now)
--- a/packages/core/orioleloft_core/routes.py
+++ b/packages/core/orioleloft_core/routes.py
@@ -238,6 +238,20 @@
         credits[chosen] -= 1
         return route.weighted_services[chosen].service
 
+    def peek(self, route: Route) -> str | None:
+        """Returns the service for the next request of a route, without counting a request.
+
+        Returns:
+            None if the route has had no request yet, so that its first service is random.
+        """
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
+        if route not in self._credits:
+            return None
+        copied = TrafficSplitter(self._rng)
+        copied._credits = {route: list(self._credits[route])}
+        return copied.next_service(route)
+
     def retain_routes(self, routes: tuple[Route, ...]) -> None:
         """Drops the credits of all other routes, so that memory stays bounded over many versions.
 
--- a/packages/core/orioleloft_core/slowstart.py
+++ b/packages/core/orioleloft_core/slowstart.py
@@ -70,14 +70,15 @@
             zones: see `is_owner`.
         """
         rate = owner_rate(cold_per_s, self._multiplier, self._slack)
-        sent_at = self._sent_at.get(target.id, ())
-        recent = [moment for moment in sent_at if now - moment < RATE_WINDOW_S]
-        self._sent_at[target.id] = recent
-        return len(recent) < rate and self.is_owner(target, zones)
+        return len(self._recent(now, target.id)) < rate and self.is_owner(target, zones)
+
+    def _recent(self, now: float, target_id: str) -> list[float]:
+        sent_at = self._sent_at.get(target_id, ())
+        return [moment for moment in sent_at if now - moment < RATE_WINDOW_S]
 
     def on_sent(self, now: float, target_id: str) -> None:
         """Counts a request to a cold target."""
-        self._sent_at.setdefault(target_id, []).append(now)
+        self._sent_at[target_id] = [*self._recent(now, target_id), now]
 
     def on_not_sent(self, target_id: str) -> None:
         """Reverts the last `on_sent` of a target, as the request was not sent after all."""
--- a/packages/node/orioleloftd/targetaccess.py
+++ b/packages/node/orioleloftd/targetaccess.py
@@ -97,6 +97,10 @@
             found = self._observations[key] = TargetObservations()
         return found
 
+    def known_observations(self, target: RegisteredTarget) -> TargetObservations:
+        """Returns the observations of a target process, or empty ones that are not kept."""
+        return self._observations.get((target.id, target.started_ms)) or TargetObservations()
+
     def observations_by_id(self, target_id: str) -> TargetObservations | None:
         """Returns the observations of a registered target, or None if it is unknown."""
         target = self._registry.get(target_id)
