Preview of the admission queue and of allotments

Cause: whether a request would wait or be refused follows from private state of the queue and of the allotments.

`Forwarder.parts` names the parts that decide where requests go. Availability no longer creates observations of targets that nobody has asked.

--- a/packages/node/orioleloftd/allotmentexchange.py
+++ b/packages/node/orioleloftd/allotmentexchange.py
@@ -16,6 +16,7 @@
     ASK_PERIOD_S,
     REPEAT_S,
     AllotmentClient,
+    AllotmentState,
     Ask,
     Exceeded,
     Outcome,
@@ -211,6 +212,19 @@
         self._count("allotment_refusals", code=code.value)
         return Refused(code, reason, seconds)
 
+    def peek(self, tenant: Tenant | None) -> tuple[AllotmentState, float | None] | None:
+        """Returns what `admit` would find, without taking a token or asking a holder.
+
+        Returns:
+            The state at this node, and the tokens left in the zone's part if this node holds it;
+            None if the request needs no token.
+        """
+        if tenant is None or not self._is_active:
+            return None
+        now = self._clock()
+        state = self._client.peek(now, tenant.name)
+        return None if state is None else (state, self._holder.available(now, tenant.name))
+
     def on_not_run(self, tenant: Tenant | None, admitted: Admitted) -> None:
         """Gives back the token of a request that was not run."""
         if tenant is not None and admitted.token is not None:
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -36,6 +36,7 @@
 from orioleloftd.attemptrecorder import AttemptRecorder
 from orioleloftd.availabilityrecorder import AvailabilityRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
+from orioleloftd.forwardingparts import ForwardingParts
 from orioleloftd.logs import log_event
 from orioleloftd.queuewaiting import QueueWaiting
 from orioleloftd.ratelimitrecorder import RateLimitRecorder
@@ -141,7 +142,7 @@
             registry,
             rate_limits,
             slow_start_limiter,
-            lambda now, target: self._access.observations(target).is_cold(now),
+            lambda now, target: self._access.known_observations(target).is_cold(now),
             zones,
         )
         self._availability_recorder = AvailabilityRecorder(
@@ -202,6 +203,27 @@
         )
         self._caller_retries = CallerRetryDetector()
         self._crash_checks: set[asyncio.Task] = set()
+        self._parts = ForwardingParts(
+            registry=registry,
+            availability=self._availability,
+            access=self._access,
+            waiting=self._waiting,
+            service_times=self._service_times,
+            contention=self._contention,
+            rate_limits=rate_limits,
+            permits=permits,
+            slow_start_limiter=slow_start_limiter,
+            probe_budget=probe_budget,
+            caller_retries=self._caller_retries,
+            crashes=crashes,
+            zones=zones,
+            zone=zone,
+        )
+
+    @property
+    def parts(self) -> ForwardingParts:
+        """What decides where requests go."""
+        return self._parts
 
     @property
     def contention(self) -> ContentionCurves:
--- a/packages/node/orioleloftd/queuewaiting.py
+++ b/packages/node/orioleloftd/queuewaiting.py
@@ -2,19 +2,22 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 from orioleloft_core.admissionorder import (
     AdmissionOrder,
     ArrivalOrder,
     RequestDemand,
     WaitingRequest,
+    snapshot,
 )
-from orioleloft_core.admissionqueue import AdmissionPolicy
+from orioleloft_core.admissionqueue import DISPATCH_RATE_WINDOW_S, AdmissionPolicy
 from orioleloft_core.deadlineorder import DeadlineOrder
 from orioleloft_core.errors import ErrorCode
+from orioleloft_core.middlerandom import MiddleRandom
 from orioleloft_core.permits import PermitScheduler
 from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.refusalreturns import RefusalReturns
@@ -52,6 +55,42 @@
 _NO_CAPACITY_TEXT = "no target can take the request"
 
 
+@dataclasses.dataclass(frozen=True)
+class QueuePreview:
+    """How a new request would fare in the queue of its service.
+
+    Attributes:
+        policy: order of admission in force.
+        inputs: what the order says of the request; see `AdmissionOrder.describe`.
+        length: requests that wait.
+        ahead: those that receive a slot before the request.
+        must_queue: whether it waits because others go before it.
+        is_admitted: whether there is room for it in the queue.
+        displaced: waiting requests that would be refused in its favour.
+        dispatches_per_s: requests of the service that got a target in the last second.
+        work: expected service time, in seconds.
+        max_wait: longest time that it would wait, in seconds.
+        retry_after: time after which its caller would be told to return if it were refused, in
+            seconds, or None for the range of the default.
+    """
+
+    policy: AdmissionPolicy
+    inputs: Mapping[str, object]
+    length: int
+    ahead: int
+    must_queue: bool
+    is_admitted: bool
+    displaced: int
+    dispatches_per_s: float
+    work: float
+    max_wait: float
+    retry_after: float | None
+
+
+def _new_order(policy: AdmissionPolicy) -> AdmissionOrder:
+    return DeadlineOrder() if policy is AdmissionPolicy.DEADLINE else ArrivalOrder()
+
+
 class _SlotHandover:
     """Single-item mailbox through which a queued request receives a target with a free slot.
 
@@ -158,7 +197,7 @@
         queue = self._queues.get(service)
         if queue is not None and queue.policy is policy:
             return queue
-        changed = DeadlineOrder() if policy is AdmissionPolicy.DEADLINE else ArrivalOrder()
+        changed = _new_order(policy)
         if queue is not None:
             changed.adopt(queue)
             log_event(
@@ -242,6 +281,48 @@
             self._count_served(queue, demand)
         return selected
 
+    def preview(self, context: RequestContext) -> QueuePreview:
+        """Returns how a new request would fare here; like `acquire_target`, without effect.
+
+        Args:
+            context: the request.
+        """
+        service, now, policy = context.service.name, self._clock(), self._policy()
+        known = self._queues.get(service)
+        queue = _new_order(policy) if known is None else snapshot(known)
+        if queue.policy is not policy:
+            queue, previous = _new_order(policy), queue
+            queue.adopt(previous)
+        demand = self._demand(context)
+        returns = self._returns.get(service)
+        returns = RefusalReturns(MiddleRandom()) if returns is None else returns.snapshot()
+        if queue.policy is AdmissionPolicy.DEADLINE:
+            queue.on_asked(now, demand)
+            returns.on_asked(now, demand.rank.is_caller_retry)
+        ahead, length = queue.count_ahead(demand), len(queue)
+        must_queue = queue.must_queue(now, demand)
+        inputs = queue.describe(now, demand)
+        retry_after = None
+        if isinstance(queue, DeadlineOrder):
+            time_left = context.deadline - now - demand.work
+            retry_after = returns.retry_after(now, queue.backlog(now), time_left)
+        recent = [at for at, _ in queue.starts if now - at < DISPATCH_RATE_WINDOW_S]
+        max_wait = self._max_wait(context, now)
+        admission = queue.admit(now, demand, now + max_wait, None)
+        return QueuePreview(
+            policy=policy,
+            inputs=inputs,
+            length=length,
+            ahead=ahead,
+            must_queue=must_queue,
+            is_admitted=admission.request is not None,
+            displaced=len(admission.displaced),
+            dispatches_per_s=len(recent) / DISPATCH_RATE_WINDOW_S,
+            work=demand.work,
+            max_wait=max_wait,
+            retry_after=retry_after,
+        )
+
     def _on_asked(
         self, queue: AdmissionOrder, service: str, demand: RequestDemand, now: float
     ) -> None:
