Explain where a request would go: decision, node and command

Cause: operators had to infer from logs why a request was refused or sent to a target.

Change: `orioleloft explain NODE` asks a node's control server at /explain. core/explanation.py judges targets and request, node/explainer.py collects what decides without effect, command/explain.py asks and renders text or JSON, for a request made by hand or one recorded in logs. Flags may follow the subcommand.

--- a/packages/command/orioleloft/account.py
+++ b/packages/command/orioleloft/account.py
@@ -91,7 +91,7 @@
     answers = []
     unreadable = 0
     for line in lines:
-        entry = _parse(line)
+        entry = parse_line(line)
         if entry is None:
             unreadable += bool(line.strip())
             continue
@@ -102,7 +102,7 @@
     return Account(tuple(causes.most_common()), tuple(_by_second(answers)), unreadable)
 
 
-def _parse(line: str) -> dict[str, Any] | None:
+def parse_line(line: str) -> dict[str, Any] | None:
     """Returns the fields of a log line, or None if it is none."""
     start = line.find("{")
     try:
--- a/packages/command/orioleloft/helptexts.py
+++ b/packages/command/orioleloft/helptexts.py
@@ -68,6 +68,15 @@
         "orioleloft account node-1.log node-2.log",
         "Needs no settings and no store. The bars show refused and failed requests.",
     ),
+    Subcommand(
+        "explain",
+        "NODE [LOG...]",
+        "tells where a request would go now and why, without sending it",
+        "orioleloft explain 10.0.0.5:9001 --host=a.example --path=/api/x --tenant=team-a",
+        "NODE is HOST:PORT of a node's control listener. Flags: --host, --path, --method,\n"
+        "--tenant (name, never a key), --timeout in seconds, --json. With --request=ID, the\n"
+        "request is the one in the logs, explained for its route. Changes nothing at the node.",
+    ),
     Subcommand(
         "help",
         "[SUBCOMMAND]",
@@ -96,14 +105,14 @@
 def general_help() -> str:
     """Returns the help that lists all subcommands."""
     lines = [
-        "Checks and publishes release notes, and shows the route table and the audit trail.",
+        "Checks and publishes release notes, shows what is in force, and explains decisions.",
         "",
         "Usage: orioleloft [--settings FILE] SUBCOMMAND [FILE]",
         "",
     ]
     for subcommand in SUBCOMMANDS:
         synopsis = f"{subcommand.name} {subcommand.operands}".strip()
-        lines += [f"  {synopsis:18} {subcommand.summary}", f"  {'':18} e.g. {subcommand.example}"]
+        lines += [f"  {synopsis:21} {subcommand.summary}", f"  {'':21} e.g. {subcommand.example}"]
     lines += ["", "--settings names an INI file with the [store] section; see docs/operators.md."]
     return "\n".join(lines)
 
--- a/packages/command/orioleloft/main.py
+++ b/packages/command/orioleloft/main.py
@@ -10,7 +10,7 @@
 
 from absl import app, flags
 
-from orioleloft import account, helptexts, publishing
+from orioleloft import account, explain, helptexts, publishing
 from orioleloft_core import note as notes
 from orioleloft_core.entrysettings import Endpoint, parse_endpoint
 from orioleloft_core.errors import NoteError, OrioleloftError, SettingsError
@@ -22,6 +22,18 @@
 
 _SETTINGS = flags.DEFINE_string("settings", "orioleloft.ini", "INI file with the [store] section.")
 
+_HOST = flags.DEFINE_string("host", "", "explain: host of the request.")
+_PATH = flags.DEFINE_string("path", "/", "explain: path of the request.")
+_METHOD = flags.DEFINE_string("method", "GET", "explain: method of the request.")
+_TENANT = flags.DEFINE_string("tenant", "", "explain: name of the tenant; never a key.")
+_TIMEOUT = flags.DEFINE_string("timeout", "", "explain: seconds in which the caller wants it.")
+_REQUEST = flags.DEFINE_string("request", "", "explain: id of a recorded request.")
+_JSON = flags.DEFINE_bool("json", False, "explain: shows JSON in place of text.")
+
+
+# Flags may follow the subcommand and its operands.
+flags.FLAGS.set_gnu_getopt()
+
 
 @dataclasses.dataclass(frozen=True)
 class CommandSettings:
@@ -91,6 +103,8 @@
             return [_format_pending(each) for each in pending] or ["no pending notes"]
         case ["account", first, *others]:
             return account.format_text(account.build(_read_logs([first, *others])))
+        case ["explain", node, *logs] if bool(logs) == bool(_REQUEST.value):
+            return await explain.run(node, _read_logs(logs), _explain_options())
         case ["help"]:
             return [helptexts.general_help()]
         case ["help", name] if helptexts.subcommand_help(name):
@@ -100,6 +114,18 @@
     raise app.UsageError(f"unknown subcommand: {' '.join(arguments) or '(none)'}")
 
 
+def _explain_options() -> explain.ExplainOptions:
+    return explain.ExplainOptions(
+        host=_HOST.value,
+        path=_PATH.value,
+        method=_METHOD.value,
+        tenant=_TENANT.value,
+        timeout=_TIMEOUT.value,
+        request=_REQUEST.value,
+        is_json=_JSON.value,
+    )
+
+
 def _open_store(settings: CommandSettings) -> publishing.OperatorStore:
     return importlib.import_module(settings.adapter).operator_store(settings.store)
 
--- a/packages/core/orioleloft_core/errors.py
+++ b/packages/core/orioleloft_core/errors.py
@@ -127,6 +127,60 @@
     code = "store-down"
 
 
+class ExplainError(OrioleloftError):
+    """It cannot be explained where a request would go."""
+
+    code = "explain-failed"
+
+
+class ExplainQueryError(ExplainError):
+    """The request to explain is malformed or incomplete."""
+
+    code = "explain-malformed"
+
+
+class UnknownRouteError(ExplainError):
+    """The configuration in force has no route of that name."""
+
+    code = "route-unknown"
+
+
+class UnknownTenantError(ExplainError):
+    """The configuration in force has no tenant of that name."""
+
+    code = "tenant-unknown"
+
+
+class NodeNotReadyError(ExplainError):
+    """The node has no complete configuration yet."""
+
+    code = "node-not-ready"
+
+
+class OldNodeError(ExplainError):
+    """The node is of a build that explains nothing."""
+
+    code = "node-too-old"
+
+
+class NodeUnreachableError(ExplainError):
+    """No node answers at the address."""
+
+    code = "node-unreachable"
+
+
+class RequestNotLoggedError(ExplainError):
+    """The logs have no usable record of the request."""
+
+    code = "request-not-logged"
+
+
+EXPLAIN_ERRORS_BY_CODE: dict[str, type[ExplainError]] = {
+    each.code: each
+    for each in (ExplainQueryError, UnknownRouteError, UnknownTenantError, NodeNotReadyError)
+}
+
+
 class OutcomeUnknownError(OrioleloftError):
     """A write was sent to the store, and it is unknown whether it took effect."""
 
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -39,6 +39,7 @@
 from orioleloftd.controlserver import ControlResponse, ControlServer
 from orioleloftd.crasharchive import CrashArchive
 from orioleloftd.crashdissemination import CrashDissemination
+from orioleloftd.explainer import EXPLAIN_PATH, Explainer
 from orioleloftd.exposition import NodeMetrics
 from orioleloftd.forwarding import Forwarder
 from orioleloftd.frontend import CallerServer
@@ -204,6 +205,15 @@
             clock=node_clock,
             rng=self._rng,
         )
+        self._explainer = Explainer(
+            node=settings.name,
+            state=self._state,
+            parts=self._forwarder.parts,
+            traffic_splitter=self._traffic_splitter,
+            allotments=self._allotments,
+            shutdown=self._shutdown,
+            clock=node_clock,
+        )
         self._request_handler = RequestHandler(
             state=self._state,
             startup_gate=self._startup_gate,
@@ -472,6 +482,8 @@
         if path == CRASHES_PATH:
             records = self._crash_dissemination.records_to_transfer()
             return self._state_exchange.answer_crashes(records)
+        if path == EXPLAIN_PATH:
+            return self._explainer.respond(query)
         if path != STATE_PATH:
             return 404, "text/plain", b"unknown path"
         nodes = (self._fleet.own_state, *self._fleet.alive())
--- a/packages/node/orioleloftd/targetchooser.py
+++ b/packages/node/orioleloftd/targetchooser.py
@@ -24,6 +24,18 @@
 MIN_TIME_TO_DEADLINE_S = 0.03
 
 
+def max_response_time(context: RequestContext, now: float, service_time: float) -> float:
+    """Returns the expected response time up to which a target is accepted, in seconds.
+
+    Args:
+        context: the request.
+        now: seconds on the node's clock.
+        service_time: expected service time of the route, in seconds.
+    """
+    due_at = context.request.arrived_at + context.route.target_latency
+    return max(due_at - now, MAX_LATE_SLOWDOWN * service_time)
+
+
 class TargetChooser:
     """Selects a target for each request.
 
@@ -316,8 +328,7 @@
         later.
         """
         expected = self._selector.expected_response_time(now, candidate, service_time)
-        due_at = context.request.arrived_at + context.route.target_latency
-        return expected <= max(due_at - now, MAX_LATE_SLOWDOWN * service_time)
+        return expected <= max_response_time(context, now, service_time)
 
     def _is_response_acceptable(
         self,
