--- a/packages/command/orioleloft/explain.py
+++ b/packages/command/orioleloft/explain.py
@@ -24,7 +24,9 @@
 EXPLAIN_PATH = "/explain"
 # Timeout for the answer of a node, in seconds.
 ANSWER_TIMEOUT_S = 5.0
-# Statuses of control servers that do not know the path.
+# Targets that the verdict names; the list of targets has all of them.
+MAX_SHOWN_TARGETS = 6
+# Status of control servers that do not know the path.
 _UNKNOWN_PATH_STATUS = 404
 
 
@@ -148,7 +150,9 @@
     """
     if answer.status == _UNKNOWN_PATH_STATUS:
         remedy = "Ask a node of this build, by HOST:PORT of its control listener."
-        raise OldNodeError("the node explains nothing; its build may be older.", remedy)
+        raise OldNodeError(
+            "the server explains nothing; it may be a node of an older build.", remedy
+        )
     try:
         content = jsoninput.decode(answer.body)
     except ValueError:
@@ -333,8 +337,7 @@
         details.append(f"failures {facts['failures']:.1f}")
     if abs(facts["latency_ratio"] - 1) >= 0.1:
         details.append(f"latency ratio {facts['latency_ratio']:.1f}")
-    reason = "" if candidate["reason"] == "no reason" else f": {candidate['reason']}"
-    text = f"{candidate['standing']}{reason}; {', '.join(details)}"
+    text = f"{candidate['standing']}: {candidate['reason']}; {', '.join(details)}"
     return f"  {place:>3} {facts['id']:16} {zone:10} {text}"
 
 
@@ -349,7 +352,10 @@
 def _verdict_text(verdict: Mapping[str, Any]) -> str:
     match verdict:
         case {"kind": "goes to", "targets": list() as targets}:
-            return f"goes to {' or '.join(targets)}: {verdict['reason']}"
+            shown = targets[:MAX_SHOWN_TARGETS]
+            if len(targets) > len(shown):
+                shown = [*shown, f"{len(targets) - len(shown)} others"]
+            return f"goes to {' or '.join(shown)}: {verdict['reason']}"
         case {"kind": "waits"}:
             end = f"{verdict['status']} {verdict['code']}{_return_text(verdict)}"
             return (
--- a/packages/core/orioleloft_core/admissionorder.py
+++ b/packages/core/orioleloft_core/admissionorder.py
@@ -55,6 +55,12 @@
     priority: int = 0
     queued: QueuedRequest | None = None
 
+    def __deepcopy__(self, memo: dict[int, Any]) -> "WaitingRequest":
+        """Returns a copy with the same handle, which may hold tasks and cannot be copied."""
+        copied = memo[id(self)] = copy.copy(self)
+        copied.queued = copy.deepcopy(self.queued, memo)
+        return copied
+
 
 @dataclasses.dataclass(frozen=True)
 class Admission:
@@ -139,8 +145,7 @@
 
     The copied requests share the handles of the original ones; the copy must dispatch none.
     """
-    handles = {id(request.handle): request.handle for request in order.waiting}
-    return copy.deepcopy(order, handles)
+    return copy.deepcopy(order)
 
 
 class ArrivalOrder:
--- a/packages/core/orioleloft_core/allotmentclient.py
+++ b/packages/core/orioleloft_core/allotmentclient.py
@@ -104,6 +104,7 @@
         may_ask: whether a request without a token asks a holder, or waits for an answer.
         room_in: seconds until a holder that has refused has its next token, or None.
         holder: name of the holder in the zone of this node, or None.
+        holder_count: number of holders in all zones.
     """
 
     tokens: int
@@ -111,6 +112,7 @@
     may_ask: bool
     room_in: float | None
     holder: str | None
+    holder_count: int
 
 
 class _Tokens:
@@ -353,6 +355,7 @@
             may_ask=may_ask and now >= state.refused_until,
             room_in=max(0.0, min(rooms)) if rooms else None,
             holder=chosen.get(self._zone),
+            holder_count=len(chosen),
         )
 
     def set_waiting(self, name: str, count: int) -> None:
--- a/packages/core/orioleloft_core/explanation.py
+++ b/packages/core/orioleloft_core/explanation.py
@@ -160,7 +160,9 @@
         return Standing.SLOW, f"it takes {facts.latency_ratio:.1f} times as long as expected"
     if not facts.is_in_time:
         return Standing.BUSY, "its answer would come too late by its last load"
-    return Standing.USABLE, "it is cold, and this node owns it" if facts.is_cold else "no reason"
+    if facts.is_cold:
+        return Standing.USABLE, "it is cold, and this node owns it"
+    return Standing.USABLE, "nothing is known against it" if facts.load is None else "it is free"
 
 
 def _rate_limit_text(facts: TargetFacts) -> str:
@@ -224,7 +226,7 @@
 
     BLOCKED = "blocked: the request has crashed targets"
     NOT_BLOCKED = "not blocked without a body; blocks of one caller are not checked"
-    NEEDS_BODY = "not checked: the body would be needed"
+    NEEDS_BODY = "not checked: it needs the whole request with its body"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -264,11 +266,11 @@
 
     Attributes:
         can_wait: whether a target without a limit exists, or a permit comes in time.
-        retry_after_s: time to return if none does, in seconds.
+        retry_after_s: range of the time to return if none does, in seconds.
     """
 
     can_wait: bool
-    retry_after_s: float
+    retry_after_s: tuple[float, float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -365,10 +367,8 @@
         if found is not None:
             return found
     if not situation.permits.can_wait:
-        seconds = situation.permits.retry_after_s
-        return refused(
-            ErrorCode.TARGETS_RATE_LIMITED, "all targets have rate limits", (seconds, seconds)
-        )
+        code, text = ErrorCode.TARGETS_RATE_LIMITED, "all targets have rate limits"
+        return refused(code, text, situation.permits.retry_after_s)
     if not queue.is_admitted:
         return refused(ErrorCode.NO_CAPACITY, "the queue is too long", queue.retry_after_s)
     code = ErrorCode.NO_CAPACITY
--- a/packages/core/orioleloft_core/permits.py
+++ b/packages/core/orioleloft_core/permits.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from orioleloft_core import placement
-from orioleloft_core.middlerandom import MiddleRandom
 from orioleloft_core.observations import LoadFigures, TargetObservations
 from orioleloft_core.ratelimits import RateLimits, owner_rate
 from orioleloft_core.registry import RegisteredTarget
@@ -105,14 +104,15 @@
         self,
         rate_limits: RateLimits,
         observations: Callable[[RegisteredTarget], TargetObservations],
+        rng: random.Random,
     ) -> "PermitScheduler":
         """Returns a copy that can be asked without effect on the times of rejected callers.
 
         Args:
             rate_limits: a snapshot of the rate limits.
             observations: returns the observations of a target without creating them.
+            rng: source of random times of the copy.
         """
-        rng = MiddleRandom()
         copied = PermitScheduler(rate_limits, observations, self._zones, rng)
         copied._return_schedules = copy.deepcopy(self._return_schedules, {id(self._rng): rng})
         return copied
--- a/packages/core/orioleloft_core/refusalreturns.py
+++ b/packages/core/orioleloft_core/refusalreturns.py
@@ -4,7 +4,6 @@
 import copy
 import random
 
-from orioleloft_core.middlerandom import MiddleRandom
 from orioleloft_core.returnschedule import MAX_RETURN_S, ReturnSchedule
 
 # Window in which ended and new requests are counted, in seconds.
@@ -62,9 +61,13 @@
         self._ended = _Rate()
         self._new = _Rate()
 
-    def snapshot(self) -> "RefusalReturns":
-        """Returns a copy, which can be asked without taking a time of the schedule."""
-        return copy.deepcopy(self, {id(self._rng): MiddleRandom()})
+    def snapshot(self, rng: random.Random) -> "RefusalReturns":
+        """Returns a copy, which can be asked without taking a time of the schedule.
+
+        Args:
+            rng: source of random times of the copy.
+        """
+        return copy.deepcopy(self, {id(self._rng): rng})
 
     def on_ended(self, now: float) -> None:
         """Counts a request that has ended at a target."""
--- a/packages/node/orioleloftd/explainer.py
+++ b/packages/node/orioleloftd/explainer.py
@@ -34,8 +34,10 @@
     Verdict,
     refused,
 )
-from orioleloft_core.middlerandom import MiddleRandom
+from orioleloft_core.fixedrandom import GREATEST, LEAST, FixedRandom
 from orioleloft_core.observations import LoadFigures
+from orioleloft_core.permits import PermitScheduler
+from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.registry import RegisteredTarget
 from orioleloft_core.routes import Route, RoutedService, RouteTable, Tenant, TrafficSplitter
 from orioleloft_core.selection import ProbedTarget, TargetSelector
@@ -270,7 +272,6 @@
         if tenant is None or found is None:
             return None
         state, tokens_at_holder = found
-        zones = set(self._parts.zones().values())
         return AllotmentFacts(
             rate_per_s=tenant.rate_per_s,
             burst=tenant.burst or 0.0,
@@ -279,7 +280,7 @@
             tokens_at_holder=tokens_at_holder,
             room_in_s=state.room_in,
             may_ask=state.may_ask,
-            is_only_holder=tokens_at_holder is not None and len(zones) <= 1,
+            is_only_holder=tokens_at_holder is not None and state.holder_count == 1,
         )
 
     def _split(self, route: Route) -> Split:
@@ -311,11 +312,11 @@
             parts.access.known_observations,
             parts.access.has_idle_connection,
             parts.contention.snapshot(service),
-            MiddleRandom(),
+            FixedRandom(),
         )
         preview = parts.waiting.preview(context)
         rate_limits = parts.rate_limits.snapshot()
-        permits = parts.permits.snapshot(rate_limits, parts.access.known_observations)
+        permits = self._permits(rate_limits, LEAST)
         untried = [
             target
             for target in parts.registry.eligible_targets(service)
@@ -354,15 +355,19 @@
             key=lambda each: (each.probe_order or math.inf, each.standing.value, each.facts.id)
         )
         can_wait = permits.can_wait(now, untried, preview.ahead, now + preview.max_wait)
+        returns = (0.0, 0.0)
+        if not can_wait:
+            returns = tuple(
+                self._permits(rate_limits, fraction).retry_after(now, service, untried)
+                for fraction in (LEAST, GREATEST)
+            )
         situation = Situation(
             allotment=self._allotment(),
             has_service=has_service,
             crash_check=self._crash_check(),
             pause_retry_after_s=self._pause(service),
             queue=_queue_facts(preview),
-            permits=PermitFacts(
-                can_wait, 0.0 if can_wait else permits.retry_after(now, service, untried)
-            ),
+            permits=PermitFacts(can_wait, returns),
             probes_available=parts.probe_budget.available(now),
             candidates=tuple(judged),
             permit_target=None if best is None else best.target.id,
@@ -370,6 +375,11 @@
         )
         return tuple(judged), situation
 
+    def _permits(self, rate_limits: RateLimits, fraction: float) -> PermitScheduler:
+        """Returns a snapshot of the permits that draws a fraction of each random range."""
+        observations = self._parts.access.known_observations
+        return self._parts.permits.snapshot(rate_limits, observations, FixedRandom(fraction))
+
     def _facts(
         self,
         selector: TargetSelector,
@@ -449,7 +459,6 @@
 def _queue_facts(preview: QueuePreview) -> QueueFacts:
     rate = preview.dispatches_per_s
     estimate = preview.ahead / rate if rate > 0 else None
-    seconds = preview.retry_after
     return QueueFacts(
         policy=preview.policy,
         length=preview.length,
@@ -460,7 +469,7 @@
         dispatches_per_s=rate,
         estimated_wait_s=0.0 if preview.ahead == 0 else estimate,
         max_wait_s=preview.max_wait,
-        retry_after_s=_DEFAULT_RETRY_AFTER_S if seconds is None else (seconds, seconds),
+        retry_after_s=preview.retry_after or _DEFAULT_RETRY_AFTER_S,
         inputs=dict(preview.inputs),
     )
 
--- a/packages/node/orioleloftd/queuewaiting.py
+++ b/packages/node/orioleloftd/queuewaiting.py
@@ -17,7 +17,7 @@
 from orioleloft_core.admissionqueue import DISPATCH_RATE_WINDOW_S, AdmissionPolicy
 from orioleloft_core.deadlineorder import DeadlineOrder
 from orioleloft_core.errors import ErrorCode
-from orioleloft_core.middlerandom import MiddleRandom
+from orioleloft_core.fixedrandom import GREATEST, LEAST, FixedRandom
 from orioleloft_core.permits import PermitScheduler
 from orioleloft_core.ratelimits import RateLimits
 from orioleloft_core.refusalreturns import RefusalReturns
@@ -70,8 +70,8 @@
         dispatches_per_s: requests of the service that got a target in the last second.
         work: expected service time, in seconds.
         max_wait: longest time that it would wait, in seconds.
-        retry_after: time after which its caller would be told to return if it were refused, in
-            seconds, or None for the range of the default.
+        retry_after: bounds of the time after which its caller would be told to return if it were
+            refused, in seconds, or None for those of the default.
     """
 
     policy: AdmissionPolicy
@@ -84,7 +84,7 @@
     dispatches_per_s: float
     work: float
     max_wait: float
-    retry_after: float | None
+    retry_after: tuple[float, float] | None
 
 
 def _new_order(policy: AdmissionPolicy) -> AdmissionOrder:
@@ -294,18 +294,14 @@
             queue, previous = _new_order(policy), queue
             queue.adopt(previous)
         demand = self._demand(context)
-        returns = self._returns.get(service)
-        returns = RefusalReturns(MiddleRandom()) if returns is None else returns.snapshot()
         if queue.policy is AdmissionPolicy.DEADLINE:
             queue.on_asked(now, demand)
-            returns.on_asked(now, demand.rank.is_caller_retry)
         ahead, length = queue.count_ahead(demand), len(queue)
         must_queue = queue.must_queue(now, demand)
         inputs = queue.describe(now, demand)
         retry_after = None
         if isinstance(queue, DeadlineOrder):
-            time_left = context.deadline - now - demand.work
-            retry_after = returns.retry_after(now, queue.backlog(now), time_left)
+            retry_after = self._preview_return(context, demand, queue.backlog(now))
         recent = [at for at, _ in queue.starts if now - at < DISPATCH_RATE_WINDOW_S]
         max_wait = self._max_wait(context, now)
         admission = queue.admit(now, demand, now + max_wait, None)
@@ -323,6 +319,19 @@
             retry_after=retry_after,
         )
 
+    def _preview_return(
+        self, context: RequestContext, demand: RequestDemand, backlog: float
+    ) -> tuple[float, float]:
+        """Returns the bounds of the time after which a refused caller would be told to return."""
+        now, bounds = self._clock(), []
+        returns = self._returns.get(context.service.name) or RefusalReturns(self._rng)
+        for fraction in (LEAST, GREATEST):
+            copied = returns.snapshot(FixedRandom(fraction))
+            copied.on_asked(now, demand.rank.is_caller_retry)
+            time_left = context.deadline - now - demand.work
+            bounds.append(copied.retry_after(now, backlog, time_left))
+        return min(bounds), max(bounds)
+
     def _on_asked(
         self, queue: AdmissionOrder, service: str, demand: RequestDemand, now: float
     ) -> None:
