--- a/packages/command/orioleloft/explain.py
+++ b/packages/command/orioleloft/explain.py
@@ -333,6 +333,8 @@
     place = "-" if candidate["probe_order"] is None else f"{candidate['probe_order']}."
     zone = f"{facts['zone']}{' (own)' if facts['is_local'] else ''}"
     details = [_load_text(facts), "connected" if facts["is_connected"] else "not connected"]
+    if facts["in_flight"]:
+        details.append(f"{facts['in_flight']} in flight from here")
     if facts["failures"] >= 0.1:
         details.append(f"failures {facts['failures']:.1f}")
     if abs(facts["latency_ratio"] - 1) >= 0.1:
--- a/packages/core/orioleloft_core/explanation.py
+++ b/packages/core/orioleloft_core/explanation.py
@@ -16,6 +16,9 @@
 
 # Latency ratio from which a target that would answer too late counts as slow and not as busy.
 SLOW_LATENCY_RATIO = 1.5
+# Age up to which a load report says whether a target is free, in seconds. Requests of the usual
+# length begin and end meanwhile; without a newer report, a target counts as free.
+KNOWN_LOAD_S = 1.0
 
 
 class Standing(enum.StrEnum):
@@ -162,7 +165,9 @@
         return Standing.BUSY, "its answer would come too late by its last load"
     if facts.is_cold:
         return Standing.USABLE, "it is cold, and this node owns it"
-    return Standing.USABLE, "nothing is known against it" if facts.load is None else "it is free"
+    if facts.load_age_s is None or facts.load_age_s > KNOWN_LOAD_S:
+        return Standing.USABLE, "nothing recent is known against it"
+    return Standing.USABLE, "it was free by its last load"
 
 
 def _rate_limit_text(facts: TargetFacts) -> str:
--- a/packages/node/orioleloftd/explainer.py
+++ b/packages/node/orioleloftd/explainer.py
@@ -54,9 +54,6 @@
 from orioleloftd.targetchooser import max_response_time
 
 EXPLAIN_PATH = "/explain"
-# Age up to which a load report says whether a target is free, in seconds. Requests of the usual
-# length begin and end meanwhile; without a newer report, a target counts as free.
-KNOWN_LOAD_S = 1.0
 # Longest host, path or name in a query, in characters.
 MAX_QUERY_CHARS = 2048
 # Shortest timeout of a request, in seconds.
@@ -398,7 +395,7 @@
         load = LoadFigures(
             observations.in_flight, 0, target.slots, 1.0 + observations.reported_excess_pace(now)
         )
-        if known is not None and age <= KNOWN_LOAD_S:
+        if known is not None and age <= explanation.KNOWN_LOAD_S:
             load = known[0]
         is_cold = observations.is_cold(now)
         probed = ProbedTarget(target, load, is_cold)
