Name what the verdict of an explanation depends on

Cause: a tenant without a token at this node gets one from a holder or is refused, and only the holder knows.

Change: the explanation has a condition beside its verdict while a holder would be asked. The sources of explanations are one data class in place of the private attributes of another class.

--- a/packages/command/orioleloft/explain.py
+++ b/packages/command/orioleloft/explain.py
@@ -296,7 +296,8 @@
         lines.append(f"probes      {explained['probes_available']:.0f} left at this node now")
         lines.append(f"targets     {len(explained['candidates'])}")
     lines += [_candidate_text(each) for each in explained["candidates"]]
-    return [*lines, f"verdict     {_verdict_text(explained['verdict'])}"]
+    lines.append(f"verdict     {_verdict_text(explained['verdict'])}")
+    return [*lines, f"            {explained['condition']}"] if explained["condition"] else lines
 
 
 def _allotment_text(allotment: Mapping[str, Any]) -> str:
--- a/packages/core/orioleloft_core/explanation.py
+++ b/packages/core/orioleloft_core/explanation.py
@@ -212,6 +212,13 @@
     may_ask: bool
     is_only_holder: bool = False
 
+    @property
+    def condition(self) -> str:
+        """What a verdict other than a refusal depends on, or an empty string."""
+        if self.outcome is AllotmentOutcome.ASKS:
+            return "if a holder of allotments grants a token, else 429 or 503"
+        return ""
+
     @property
     def outcome(self) -> AllotmentOutcome:
         """What a request finds."""
@@ -483,6 +490,7 @@
         probes_available: probes that this node may send now.
         candidates: targets of the service, those to probe first.
         verdict: what would happen.
+        condition: what the verdict depends on and the node does not know, or an empty string.
     """
 
     node: str
@@ -506,6 +514,7 @@
     probes_available: float
     candidates: tuple[Candidate, ...]
     verdict: Verdict
+    condition: str = ""
 
 
 def to_json_object(explanation: Explanation) -> dict[str, object]:
--- a/packages/node/orioleloftd/explainer.py
+++ b/packages/node/orioleloftd/explainer.py
@@ -5,6 +5,7 @@
 """
 
 import copy
+import dataclasses
 import json
 import math
 from collections.abc import Callable, Mapping, Sequence
@@ -27,6 +28,7 @@
     Explanation,
     PermitFacts,
     QueueFacts,
+    Refused,
     Situation,
     Split,
     SplitShare,
@@ -94,14 +96,11 @@
         clock: Callable[[], float],
         further_reasons: Sequence[FurtherReason] = (),
     ) -> None:
-        self._node = node
         self._state = state
-        self._parts = parts
-        self._traffic_splitter = traffic_splitter
-        self._allotments = allotments
-        self._shutdown = shutdown
         self._clock = clock
-        self._further_reasons = further_reasons
+        self._sources = _Sources(
+            node, parts, traffic_splitter, allotments, shutdown, tuple(further_reasons)
+        )
 
     def respond(self, query: Mapping[str, str]) -> ControlResponse:
         """Answers a query over HTTP: an explanation, or an error with its code and remedy."""
@@ -127,23 +126,38 @@
             remedy = "Ask another node, or again once this one is ready."
             raise NodeNotReadyError("the node has no complete configuration.", remedy)
         texts = {name: _text(value) for name, value in query.items()}
-        return _Inquiry(self, table, texts).explain()
+        return _Inquiry(self._sources, self._clock(), table, texts).explain()
+
+
+@dataclasses.dataclass(frozen=True)
+class _Sources:
+    """What explanations are collected from; see `Explainer`."""
+
+    node: str
+    parts: ForwardingParts
+    traffic_splitter: TrafficSplitter
+    allotments: AllotmentExchange
+    shutdown: GracefulShutdown
+    further_reasons: tuple[FurtherReason, ...]
 
 
 class _Inquiry:
     """One query, judged at one time.
 
     Args:
-        explainer: the explainer with its parts.
+        sources: what the explanation is collected from.
+        now: seconds on the node's clock.
         table: configuration in force.
         query: see `Explainer.explain`.
     """
 
-    def __init__(self, explainer: Explainer, table: RouteTable, query: Mapping[str, str]) -> None:
-        self._explainer = explainer
-        self._parts = explainer._parts
+    def __init__(
+        self, sources: _Sources, now: float, table: RouteTable, query: Mapping[str, str]
+    ) -> None:
+        self._sources = sources
+        self._parts = sources.parts
         self._table = table
-        self._now = explainer._clock()
+        self._now = now
         self._named_route = _named_route(table, query)
         self._tenant = _named_tenant(table, query)
         self._request = _request(self._now, self._named_route, self._tenant, query)
@@ -188,7 +202,7 @@
         request, route = self._request, self._route
         priority, source = self._priority()
         return Explanation(
-            node=self._explainer._node,
+            node=self._sources.node,
             table_version=self._table.version,
             host=request.host,
             path=request.path,
@@ -209,14 +223,20 @@
             probes_available=self._parts.probe_budget.available(self._now),
             candidates=candidates,
             verdict=verdict,
+            condition=self._condition(verdict, situation),
         )
 
+    def _condition(self, verdict: Verdict, situation: Situation | None) -> str:
+        if situation is None or situation.allotment is None or isinstance(verdict, Refused):
+            return ""
+        return situation.allotment.condition
+
     # Before a target is sought.
 
     def _refusal_before_forwarding(self) -> Verdict | None:
         if isinstance(self._authorization, Denied):
             return refused(ErrorCode.UNKNOWN_KEY, "the request has no known API key")
-        shutdown = copy.deepcopy(self._explainer._shutdown)
+        shutdown = copy.deepcopy(self._sources.shutdown)
         if not shutdown.accepts(self._now, self._time_limit()):
             seconds = (STOPPING_RETRY_AFTER_MIN_S, STOPPING_RETRY_AFTER_MAX_S)
             text = "the node stops before the request must end"
@@ -265,7 +285,7 @@
 
     def _allotment(self) -> AllotmentFacts | None:
         tenant = tenants.tenant_of(self._authorization)
-        found = self._explainer._allotments.peek(tenant)
+        found = self._sources.allotments.peek(tenant)
         if tenant is None or found is None:
             return None
         state, tokens_at_holder = found
@@ -285,7 +305,7 @@
         shares = tuple(
             SplitShare(each.service, each.weight / total) for each in route.weighted_services
         )
-        service = self._explainer._traffic_splitter.peek(route)
+        service = self._sources.traffic_splitter.peek(route)
         greatest = max(shares, key=lambda each: each.share).service
         return Split(shares, service or greatest, service is not None)
 
@@ -425,7 +445,7 @@
 
     def _further_reason(self, target: RegisteredTarget) -> str | None:
         """Returns why a component beside `TargetAvailability` excludes a target, or None."""
-        reasons = (reason(self._now, target) for reason in self._explainer._further_reasons)
+        reasons = (reason(self._now, target) for reason in self._sources.further_reasons)
         return next((reason for reason in reasons if reason is not None), None)
 
     def _is_in_time(
--- a/tests/test_explainer.py
+++ b/tests/test_explainer.py
@@ -360,6 +360,8 @@
                     admission = await exchange.admit(tenant)
                     code = None if isinstance(admission, Admitted) else admission.code
                     outcomes.setdefault(explained.allotment.outcome, set()).add(code)
+                    asks = explained.allotment.outcome is AllotmentOutcome.ASKS
+                    self.assertEqual(bool(explained.condition), asks)
                     if code is not None and isinstance(explained.verdict, Refused):
                         self.assertEqual(explained.verdict.code, code)
                     await asyncio.sleep(0.03)
