Test explanations at a node that stops

Cause: whether a stopping node accepts a request advances its state chart once draining is due.

Change: three moments of a shutdown; the chart of the node must stay as it is.

--- a/tests/test_explainer.py
+++ b/tests/test_explainer.py
@@ -39,7 +39,7 @@
 ORDERS = (AdmissionPolicy.ARRIVAL, AdmissionPolicy.DEADLINE)
 
 
-def explainer_of(node, allotments=None, splitter=None, further_reasons=()):
+def explainer_of(node, allotments=None, splitter=None, further_reasons=(), shutdown=None):
     """Returns an explainer for a node in memory."""
     return Explainer(
         node=node.name,
@@ -47,7 +47,7 @@
         parts=node.forwarder.parts,
         traffic_splitter=splitter or TrafficSplitter(random.Random(1)),
         allotments=allotments or mock.Mock(peek=lambda tenant: None),
-        shutdown=GracefulShutdown(5.0),
+        shutdown=shutdown or GracefulShutdown(5.0),
         clock=asyncio.get_running_loop().time,
         further_reasons=further_reasons,
     )
@@ -318,6 +318,18 @@
         self.assertEqual((explained.priority, explained.priority_source), (priority, source))
         self.assertEqual(getattr(explained.verdict, "status", None), status)
 
+    @params((0.0, {}, None), (-3.0, {}, 503), (-4.5, {"timeout": "0.1"}, 503))
+    def test_stopping(self, begun_at, query, status):
+        """Guards against an explanation that sends a request to a node that stops before its end.
+
+        The third shutdown would begin to drain by the time alone, which must not be noted there.
+        """
+        shutdown = GracefulShutdown(5.0)
+        shutdown.begin(begun_at)
+        verdict = self.explain({**QUERY, **query}, shutdown=shutdown).verdict
+        self.assertEqual(getattr(verdict, "status", None), status)
+        self.assertEqual(shutdown._chart.state, "lame_duck")
+
     @params(("GET", CrashCheck.NOT_BLOCKED), ("POST", CrashCheck.NEEDS_BODY))
     def test_crash_check(self, method, check):
         """Guards against a block that is denied although it depends on an unknown body."""
