--- a/packages/core/orioleloft_core/admissionorder.py
+++ b/packages/core/orioleloft_core/admissionorder.py
@@ -1,5 +1,6 @@
 """Interface of the orders of admission, and the order of arrival behind it."""
 
+import copy
 import dataclasses
 from collections.abc import Iterable, Mapping
 from typing import Any, Protocol
@@ -54,6 +55,12 @@
     priority: int = 0
     queued: QueuedRequest | None = None
 
+    def __deepcopy__(self, memo: dict[int, Any]) -> "WaitingRequest":
+        """Returns a copy with the same handle, which may hold tasks and cannot be copied."""
+        copied = memo[id(self)] = copy.copy(self)
+        copied.queued = copy.deepcopy(self.queued, memo)
+        return copied
+
 
 @dataclasses.dataclass(frozen=True)
 class Admission:
@@ -133,6 +140,14 @@
         """Returns the inputs of a refusal, for the log."""
 
 
+def snapshot(order: AdmissionOrder) -> AdmissionOrder:
+    """Returns a copy of an order, which can admit a request without effect on those that wait.
+
+    The copied requests share the handles of the original ones; the copy must dispatch none.
+    """
+    return copy.deepcopy(order)
+
+
 class ArrivalOrder:
     """The order of arrival: passes all calls to an `AdmissionQueue`.
 
--- a/packages/core/orioleloft_core/permits.py
+++ b/packages/core/orioleloft_core/permits.py
@@ -1,5 +1,6 @@
 """Use of the permits for targets with rate limits: who gets them, and when others may return."""
 
+import copy
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -99,6 +100,23 @@
         schedule = self._return_schedules.setdefault(service, ReturnSchedule(self._rng))
         return schedule.next_delay(now, rate, earliest)
 
+    def snapshot(
+        self,
+        rate_limits: RateLimits,
+        observations: Callable[[RegisteredTarget], TargetObservations],
+        rng: random.Random,
+    ) -> "PermitScheduler":
+        """Returns a copy that can be asked without effect on the times of rejected callers.
+
+        Args:
+            rate_limits: a snapshot of the rate limits.
+            observations: returns the observations of a target without creating them.
+            rng: source of random times of the copy.
+        """
+        copied = PermitScheduler(rate_limits, observations, self._zones, rng)
+        copied._return_schedules = copy.deepcopy(self._return_schedules, {id(self._rng): rng})
+        return copied
+
     def take_idle(self, now: float, targets: Iterable[RegisteredTarget]) -> list[RegisteredTarget]:
         """Uses the permits that no request has used for some time, and returns their targets."""
         idle = [
--- a/packages/core/orioleloft_core/refusalreturns.py
+++ b/packages/core/orioleloft_core/refusalreturns.py
@@ -1,6 +1,7 @@
 """Time to return for refused callers, from the rate at which work ends and earlier refusals."""
 
 import collections
+import copy
 import random
 
 from orioleloft_core.returnschedule import MAX_RETURN_S, ReturnSchedule
@@ -62,6 +63,14 @@
         self._ended = _Rate()
         self._new = _Rate()
 
+    def snapshot(self, rng: random.Random) -> "RefusalReturns":
+        """Returns a copy, which can be asked without taking a time of the schedule.
+
+        Args:
+            rng: source of random times of the copy.
+        """
+        return copy.deepcopy(self, {id(self._rng): rng})
+
     def on_ended(self, now: float) -> None:
         """Counts a request that has ended at a target."""
         self._ended.add(now)
--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -40,6 +40,7 @@
 from orioleloftd.controlserver import ControlResponse, ControlServer
 from orioleloftd.crasharchive import CrashArchive
 from orioleloftd.crashdissemination import CrashDissemination
+from orioleloftd.explainer import EXPLAIN_PATH, Explainer
 from orioleloftd.exposition import NodeMetrics
 from orioleloftd.forwarding import Forwarder
 from orioleloftd.frontend import CallerServer
@@ -233,6 +234,15 @@
             clock=node_clock,
             rng=self._rng,
         )
+        self._explainer = Explainer(
+            node=settings.name,
+            state=self._state,
+            parts=self._forwarder.parts,
+            traffic_splitter=self._traffic_splitter,
+            allotments=self._allotments,
+            shutdown=self._shutdown,
+            clock=node_clock,
+        )
         self._request_handler = RequestHandler(
             state=self._state,
             startup_gate=self._startup_gate,
@@ -508,6 +518,8 @@
             return self._state_exchange.answer_crashes(records)
         if path == ROLLOUTS_PATH:
             return self._rollouts.answer()
+        if path == EXPLAIN_PATH:
+            return self._explainer.respond(query)
         if path != STATE_PATH:
             return 404, "text/plain", b"unknown path"
         nodes = (self._fleet.own_state, *self._fleet.alive())
