Check tokens of allotments at the start of each attempt

Cause: a request took its token at its arrival and ran after its wait for a target, up to seconds later. When a long queue was worked off at once, the bound did not hold: in the fleet in memory, a tenant with 100 requests per second exceeded it by 295 requests after a jam of 4 s. A key that moved to another tenant meanwhile ran on the token of the first one. Tokens of requests refused after 0.5 s were lost to their tenant.

Change: each attempt needs a token that is valid at its start (`RequestContext.permit`). A request whose token has lapsed may start a little later, as far as the slack covers it, or takes the unspent token of a request of the tenant that still waits, or another one, or gets 429. A request that was refused with a lapsed token lets one more be admitted at its node, which needs a token at its start. Young buckets keep fewer tokens for nodes that were refused. All holders together start with 1.1 tokens.

--- a/packages/core/orioleloft_core/allotmentclient.py
+++ b/packages/core/orioleloft_core/allotmentclient.py
@@ -4,6 +4,7 @@
 """
 
 import bisect
+import collections
 import dataclasses
 import math
 import random
@@ -14,6 +15,7 @@
     MAX_DEMANDS,
     MIN_WAIT_S,
     HolderView,
+    late_start,
     tenant_key,
     token_lifetime,
     total_cap,
@@ -67,15 +69,30 @@
 MIN_RETRY_AFTER_S = 0.02
 # Part of a tenant's rate at which the callers of a node that got few tokens return.
 MIN_RETURN_SHARE = 0.25
+# Time for which the lapsed token of a request that was not run lets another request in, in seconds,
+# and the maximum number of them for each tenant. Refused callers return within that time.
+UNSENT_MEMORY_S = 2.0
+MAX_UNSENT = 200
 
 _EPSILON = 1e-9
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class Taken:
-    """The request may run; its token is valid until `expires_at`, on the node's clock."""
+    """The request has a token.
+
+    Attributes:
+        expires_at: when the token lapses, on the node's clock; changed if the request gets another.
+        is_spent: whether an attempt has been sent with it, or it was given back.
+        is_admission_only: whether no token was granted for the request, so that it needs one before
+            it is sent.
+        limit: limit under which the token was granted for a request that waits, or None.
+    """
 
     expires_at: float
+    is_spent: bool = False
+    is_admission_only: bool = False
+    limit: Tenant | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,6 +178,22 @@
         self.pending: dict[str, _Pending] = {}
         self.refused_until = 0.0
         self.last_return_at = 0.0
+        # Tokens of requests that have not been sent, and the times until which lapsed tokens of
+        # requests that were never sent let others in.
+        self.held: collections.deque[Taken] = collections.deque()
+        self.unsent: collections.deque[float] = collections.deque(maxlen=MAX_UNSENT)
+
+    def hold(self, now: float, token: Taken) -> None:
+        self._drop_used(now)
+        self.held.append(token)
+
+    def next_held(self, now: float) -> Taken | None:
+        self._drop_used(now)
+        return self.held.popleft() if self.held else None
+
+    def _drop_used(self, now: float) -> None:
+        while self.held and (self.held[0].is_spent or self.held[0].expires_at <= now):
+            self.held.popleft()
 
     def end_period(self, seconds: float) -> None:
         self.demand += DEMAND_WEIGHT * (self.arrivals / seconds - self.demand)
@@ -330,11 +363,65 @@
             state.waiting = count
             self._active[name] = state
 
+    def hold(self, now: float, name: str, token: Taken) -> None:
+        """Lets requests that are sent earlier use the token of an admitted request."""
+        state = self._states.get(name)
+        if state is not None and now < token.expires_at < math.inf:
+            token.limit = state.tenant
+            state.hold(now, token)
+
+    def admit_without_token(self, now: float, name: str) -> Taken | None:
+        """Admits a request in place of one that was never sent and whose token has lapsed.
+
+        Such a tenant has not used its allotment. The request needs a token before it is sent.
+        """
+        state = self._states.get(name)
+        while state is not None and state.unsent:
+            if state.unsent.popleft() > now:
+                return Taken(-math.inf, is_admission_only=True)
+        return None
+
+    def spend(self, now: float, name: str, token: Taken) -> Outcome:
+        """Spends a token for an attempt that is about to be sent.
+
+        If the token has lapsed while the request waited, the request gets that of one which still
+        waits, and which gets the lapsed one for it, or one that nobody has. A tenant whose requests
+        all wait for a while thus needs one token for each, not one for its arrival and one for its
+        start.
+
+        Returns:
+            The token, or `Ask` or a refusal if it has lapsed and there is no other.
+        """
+        state = self._states.get(name)
+        if state is not None and not self._may_start(now, state, token):
+            other = state.next_held(now)
+            if other is not None:
+                # The tokens of requests that wait lapse before those that nobody has.
+                expires_at, other.expires_at = other.expires_at, -math.inf
+                other.is_admission_only = token.is_admission_only or token.is_spent
+            else:
+                expires_at = state.tokens.take(now)
+                if expires_at is None:
+                    return self._resolve(now, state)
+            token.expires_at, token.is_admission_only = expires_at, False
+        token.is_spent = True
+        return token
+
+    def _may_start(self, now: float, state: _TenantState, token: Taken) -> bool:
+        if token.is_spent or token.limit is not state.tenant:
+            return now < token.expires_at
+        return now < token.expires_at + late_start(self._bounds, state.tenant)
+
     def give_back(self, now: float, name: str, token: Taken) -> None:
         """Gives back the token of a request that was not run; it stays valid no longer."""
         state = self._states.get(name)
-        if state is not None and now < token.expires_at < math.inf:
+        if state is None or token.expires_at == math.inf:
+            return
+        if now < token.expires_at:
             state.tokens.add(token.expires_at, 1)
+        elif not token.is_admission_only:
+            state.unsent.append(now + UNSENT_MEMORY_S)
+        token.expires_at, token.is_spent, token.is_admission_only = -math.inf, True, True
 
     def _refuse(self, now: float, state: _TenantState) -> Exceeded | Unavailable:
         chosen = self._view.get().values()
--- a/packages/core/orioleloft_core/allotments.py
+++ b/packages/core/orioleloft_core/allotments.py
@@ -15,15 +15,18 @@
 
     sum of caps + rate x (window + lifetime).
 
-With `lifetime` = overage x window (0.1 x 5 s) and the sum of caps = burst + EXTRA_TOKENS, where
-EXTRA_TOKENS <= slack, this is at most the bound for every rate and burst, whatever the number of
-unspent tokens. A holder that restarts, or replaces another one, starts with a nearly empty bucket.
-It grants no more than its predecessor would have with the tokens that it had left, except for
-`START_SHARE` of the slack, which is one token of all holders together at the usual slack.
+With `lifetime` = overage x window (0.1 x 5 s) and the sum of caps = burst + EXTRA_TOKENS, this is
+at most the bound for every rate and burst, whatever the number of unspent tokens. A request that
+has waited for a target may start `late_start` seconds after its token has lapsed, which adds
+rate x late_start <= LATE_SHARE x slack + overage x burst. A holder that restarts, or replaces
+another one, starts with a nearly empty bucket and accrues tokens from the start of its process. It
+grants no more than its predecessor would have with the tokens that it had left, except for
+`START_SHARE` of the slack for all holders together. `EXTRA_SHARE`, `LATE_SHARE` and seven starts of
+all holders make 0.985 of the slack together.
 
 Views of the zones may differ for a moment, as nodes learn of each other. A holder's part counts in
-its own view. `HOLDER_DELAY_S` lets a node that has just started learn of the others first; see
-`AllotmentHolder`. In a partition the views stay, because nodes that are down remain registered.
+its own view. A node that starts reads the registered nodes first; see `AllotmentHolder`. In a
+partition the views stay, because nodes that are down remain registered.
 """
 
 import dataclasses
@@ -45,21 +48,26 @@
 RANKING_KEY = "allotments"
 # Maximum number of holders. Each needs room for a whole token, which the slack provides.
 MAX_HOLDERS = 8
-# Part of the slack that all holders together start with: 1.4 tokens at the usual slack. The first
+# Part of the slack that all holders together start with: 1.1 tokens at the usual slack. The first
 # holder can grant one at once, and the next ones come one after the other, since a tenant with 0.3
 # requests per second gets one from each holder in 10 s. Seven starts of all nodes in one window
-# cost 9.8 tokens, which the slack has room for beside `EXTRA_TOKENS`. A power failure lasts 0.6 s
+# cost 7.7 tokens, which the slack has room for beside the shares below. A power failure lasts 0.6 s
 # at least and a process takes 0.3 s to start, so there are no more.
-START_SHARE = 0.07
+START_SHARE = 0.055
 # Time from the start of the process within which a holder may go on with its part, in seconds. In
 # that time no new node is taken into the list of registered nodes and then for a holder.
 RESUME_WINDOW_S = 1.0
 # Longest time before the first grant for which a holder that goes on has tokens, in seconds.
 MAX_START_ACCRUAL_S = 5.0
-# Tokens that the buckets of all holders have room for on top of the burst, or half of the slack if
-# that is less. Arrivals of a tenant at its limit vary by some tokens; the other half of the slack
-# is left for requests that start late and for views of the zones that differ for a moment.
+# Tokens that the buckets of all holders have room for on top of the burst, and the part of the
+# slack that they are at most. Arrivals of a tenant at its limit vary by some tokens: with 8 instead
+# of 10 tokens, a tenant with 100 requests per second got 0.985 of its rate instead of 0.997.
 EXTRA_TOKENS = 10.0
+EXTRA_SHARE = 0.5
+# Requests of a tenant that may start later than their tokens' time in one window, as a part of the
+# slack; the overage of the burst comes on top. The longest such delay in seconds.
+LATE_SHARE = 0.1
+MAX_LATE_S = 2.5
 # Time for which a token is valid at most, in seconds.
 MAX_LIFETIME_S = 0.5
 # Time from the moment a node finds itself to be the holder to its first token, in seconds. The
@@ -80,6 +88,10 @@
 MIN_WAIT_S = 0.01
 MAX_PACE_S = 0.05
 MAX_SHARE_WAIT_S = 0.5
+# Time from the start of a bucket after which all of that is kept for other nodes, in seconds. A
+# bucket that starts nearly empty cannot spare it: with 100 requests per second, 0.72 of the
+# requests of the first 2 s ran, without it 0.85.
+KEEPING_DELAY_S = 5.0
 # Time after which a holder that does not know a tenant is asked again, in seconds.
 UNKNOWN_WAIT_S = 0.1
 # Answers that are kept for repeated questions, and for how long, in seconds.
@@ -145,7 +157,16 @@
 
 def total_cap(bounds: AllotmentBounds, tenant: Tenant) -> float:
     """Returns the number of tokens of a tenant that all buckets together have room for."""
-    return max(0.0, tenant.burst or 0.0) + min(EXTRA_TOKENS, bounds.slack / 2)
+    return max(0.0, tenant.burst or 0.0) + min(EXTRA_TOKENS, EXTRA_SHARE * bounds.slack)
+
+
+def late_start(bounds: AllotmentBounds, tenant: Tenant) -> float:
+    """Returns how long after its token has lapsed a request that has waited may start, in seconds.
+
+    Requests with tokens of this age are `rate` times the delay at most, which the slack covers.
+    """
+    covered = LATE_SHARE * bounds.slack + bounds.overage * max(0.0, tenant.burst or 0.0)
+    return min(MAX_LATE_S, covered / tenant.rate_per_s)
 
 
 @dataclasses.dataclass
@@ -176,6 +197,7 @@
         self._tokens = 0.0
         self._askers: dict[str, _Asker] = {}
         self._refilled_at = now
+        self._started_at = now
 
     def set_limits(self, now: float, rate: float, cap: float) -> None:
         """Changes the limits; tokens above a lower cap are dropped."""
@@ -195,7 +217,7 @@
         """Begins with some tokens, those since a time, and without a memory of demand."""
         self._tokens = min(self._cap, tokens)
         self._askers.clear()
-        self._refilled_at = since
+        self._refilled_at = self._started_at = since
 
     def _refill(self, now: float) -> None:
         added = max(0.0, now - self._refilled_at) * self._rate
@@ -217,6 +239,7 @@
             entitled = count / total * (self._tokens + recent) - asker.granted
             room = max(0.0, self._cap - self._rate * MAX_PACE_S - 1)
             kept = min(self._cap / 2, self._rate * MAX_SHARE_WAIT_S, room)
+            kept *= min(1.0, (now - self._started_at) / KEEPING_DELAY_S)
             entitled = max(entitled, self._tokens - kept)
         granted = max(0, min(count, math.floor(min(entitled, self._tokens) + _EPSILON)))
         self._tokens = max(0.0, self._tokens - granted)
--- a/packages/node/orioleloftd/allotmentexchange.py
+++ b/packages/node/orioleloftd/allotmentexchange.py
@@ -37,6 +37,7 @@
 from orioleloft_core.messages import AllotmentAnswer, AllotmentQuestion, NodeList, OutgoingDatagram
 from orioleloft_core.routes import Tenant
 from orioleloftd.logs import log_event
+from orioleloftd.requestcontext import Rejection
 from orioleloftd.storesync import StoreError
 
 # Time for which a request waits for a token at most, in seconds; the second one applies while this
@@ -65,11 +66,17 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(eq=False)
 class Admitted:
-    """The request may run; `token` is None if its tenant has no allotment."""
+    """The request may wait for a target.
+
+    Attributes:
+        token: token of the request, or None if its tenant has no allotment.
+        tenant: name of the tenant whose token it is.
+    """
 
     token: Taken | None = None
+    tenant: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,10 +100,37 @@
     async def admit(self, tenant: Tenant | None, deadline: float = math.inf) -> Admitted | Refused:
         """Takes a token for a request, after its key has been checked."""
 
-    def on_not_run(self, tenant: Tenant | None, admitted: Admitted) -> None:
+    async def spend(
+        self, tenant: Tenant | None, admitted: Admitted, deadline: float
+    ) -> Refused | None:
+        """Spends the token of a request before an attempt; returns a refusal if there is none."""
+
+    def on_not_run(self, admitted: Admitted) -> None:
         """Gives back the token of a request that was not run."""
 
 
+@dataclasses.dataclass(frozen=True, eq=False)
+class AllotmentPermit:
+    """Permit of one request; implements `requestcontext.DispatchPermit`.
+
+    Attributes:
+        gate: gate that has admitted the request.
+        admitted: its token.
+        deadline: when the caller gives up, in seconds on the node's clock.
+    """
+
+    gate: AllotmentGate
+    admitted: Admitted
+    deadline: float
+
+    async def spend(self, tenant: Tenant | None) -> Rejection | None:
+        """See `requestcontext.DispatchPermit`."""
+        refused = await self.gate.spend(tenant, self.admitted, self.deadline)
+        if refused is None:
+            return None
+        return Rejection(refused.code, refused.reason, refused.retry_after)
+
+
 class NodeRegistry(Protocol):
     """Reads the registered nodes; implemented by the store's client."""
 
@@ -223,29 +257,75 @@
             tenant: tenant of the request, or None.
             deadline: when the caller gives up, in seconds on the node's clock.
         """
-        if tenant is None or not self._is_active or not tenant.is_limited:
+        if not self._needs_token(tenant):
             return Admitted()
         outcome = self._client.take(self._clock(), tenant.name)
         if isinstance(outcome, Ask):
             outcome = await self._wait(tenant.name, deadline)
+        now = self._clock()
+        if isinstance(outcome, Exceeded):
+            outcome = self._client.admit_without_token(now, tenant.name) or outcome
+        if not isinstance(outcome, Taken):
+            return self._refuse(tenant.name, outcome)
+        self._client.hold(now, tenant.name, outcome)
+        return Admitted(outcome, tenant.name)
+
+    def _needs_token(self, tenant: Tenant | None) -> bool:
+        return tenant is not None and self._is_active and tenant.is_limited
+
+    def _refuse(self, name: str, outcome: Exceeded | Unavailable) -> Refused:
+        refusals = self._refusals.setdefault(name, _Refusals())
+        refusals.retry_after = outcome.retry_after
         match outcome:
-            case Taken():
-                return Admitted(outcome)
-            case Exceeded(retry_after=seconds):
-                self._refusals.setdefault(tenant.name, _Refusals()).exceeded += 1
+            case Exceeded():
+                refusals.exceeded += 1
                 code, reason = ErrorCode.ALLOTMENT_EXCEEDED, "the tenant's allotment is used up"
-            case Unavailable(retry_after=seconds):
-                self._refusals.setdefault(tenant.name, _Refusals()).unavailable += 1
+            case Unavailable():
+                refusals.unavailable += 1
                 code, reason = ErrorCode.ALLOTMENT_UNAVAILABLE, "no holder of allotments answers"
-        self._refusals[tenant.name].retry_after = seconds
         self._count("allotment_refusals", code=code.value)
-        return Refused(code, reason, seconds)
+        return Refused(code, reason, outcome.retry_after)
 
-    def on_not_run(self, tenant: Tenant | None, admitted: Admitted) -> None:
+    async def spend(
+        self, tenant: Tenant | None, admitted: Admitted, deadline: float
+    ) -> Refused | None:
+        """Spends the token of a request before an attempt, or another one if it has lapsed.
+
+        Args:
+            tenant: tenant of the request by the configuration in force, or None. Its key may have
+                moved to another tenant since it was admitted.
+            admitted: token of the request; changed if it gets another one.
+            deadline: when the caller gives up, in seconds on the node's clock.
+
+        Returns:
+            A refusal if there is no token, otherwise None.
+        """
+        name = tenant.name if self._needs_token(tenant) else ""
+        if admitted.tenant != name:
+            if admitted.token is not None and not admitted.token.is_spent:
+                self.on_not_run(admitted)
+            admission = await self.admit(tenant, deadline)
+            if isinstance(admission, Refused):
+                admitted.token, admitted.tenant = None, ""
+                return admission
+            admitted.token, admitted.tenant = admission.token, admission.tenant
+        token = admitted.token
+        if token is None:
+            return None
+        outcome = self._client.spend(self._clock(), name, token)
+        if isinstance(outcome, Ask):
+            outcome = await self._wait(name, deadline)
+        if not isinstance(outcome, Taken):
+            return self._refuse(name, outcome)
+        token.expires_at, token.is_spent = outcome.expires_at, True
+        token.is_admission_only = False
+        return None
+
+    def on_not_run(self, admitted: Admitted) -> None:
         """Gives back the token of a request that was not run."""
-        if tenant is not None and admitted.token is not None:
-            self._client.give_back(self._clock(), tenant.name, admitted.token)
-            self._settle(tenant.name)
+        if admitted.token is not None:
+            self._client.give_back(self._clock(), admitted.tenant, admitted.token)
+            self._settle(admitted.tenant)
 
     async def _wait(self, name: str, deadline: float) -> Outcome:
         now = self._clock()
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -42,6 +42,7 @@
 from orioleloftd.requestcontext import (
     CallerReply,
     CallerRequest,
+    DispatchPermit,
     Rejection,
     RequestContext,
     SelectedTarget,
@@ -251,6 +252,7 @@
         route: Route,
         service_name: str,
         authorization: Authorization = UNRESTRICTED,
+        permit: DispatchPermit | None = None,
     ) -> CallerReply:
         """Forwards a request and returns a target's response or an error reply.
 
@@ -263,6 +265,7 @@
             service_name: service that the traffic split has selected.
             authorization: judgement of the request at its arrival. It is judged again before each
                 attempt, as a new version of the configuration may move or remove its key.
+            permit: permit that each attempt needs, or None. Hedges follow the attempt beside them.
         """
         now = self._clock()
         timeout = route.timeout
@@ -282,6 +285,7 @@
             request.arrived_at + timeout,
             is_caller_retry,
             authorization=authorization,
+            permit=permit,
         )
         try:
             async with asyncio.timeout(max(0.0, context.deadline - now)):
@@ -364,6 +368,9 @@
             return self.error_reply(
                 request.id, selected.code, selected.reason, selected.retry_after
             )
+        refusal = await self._spend_permit(context, selected)
+        if refusal is not None:
+            return refusal
         if not self._crashes.start_run(self._clock(), request.fingerprints):
             self._chooser.release_unused(selected)
             return self._error(request, ErrorCode.CRASH_SUSPECT, "the request has crashed targets")
@@ -377,6 +384,33 @@
         )
         return None
 
+    async def _spend_permit(
+        self, context: RequestContext, selected: SelectedTarget
+    ) -> CallerReply | None:
+        """Gets the permit for an attempt; releases the target and returns a reply if there is none.
+
+        The request is judged again afterwards, as the permit may have to be waited for.
+        """
+        if context.permit is None:
+            return None
+        has_permit = False
+        try:
+            while not has_permit:
+                tenant = context.tenant
+                rejection = await context.permit.spend(tenant)
+                if rejection is not None:
+                    return self.error_reply(
+                        context.request.id, rejection.code, rejection.reason, rejection.retry_after
+                    )
+                if not self._is_authorized(context):
+                    return self._deny(context)
+                # The key may have moved to yet another tenant.
+                has_permit = context.tenant == tenant
+        finally:
+            if not has_permit:
+                self._chooser.release_unused(selected)
+        return None
+
     def _is_authorized(self, context: RequestContext) -> bool:
         """Judges a request by the configuration in force; returns whether it may be dispatched."""
         request, table = context.request, self._table()
--- a/packages/node/orioleloftd/requestcontext.py
+++ b/packages/node/orioleloftd/requestcontext.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+from typing import Protocol
 
 from tornado import httputil
 
@@ -82,6 +83,20 @@
     reservation: ResponseReservation | None = None
 
 
+class DispatchPermit(Protocol):
+    """Permit for the attempts of one request; see `allotmentexchange`."""
+
+    async def spend(self, tenant: Tenant | None) -> "Rejection | None":
+        """Allows an attempt that is about to be sent; may wait for a moment.
+
+        Args:
+            tenant: tenant of the request by the configuration in force, or None.
+
+        Returns:
+            Why the attempt must not be sent, or None.
+        """
+
+
 @dataclasses.dataclass(eq=False)
 class RequestContext:
     """State of a request while it is forwarded.
@@ -99,6 +114,7 @@
         probe_count: number of probes sent in the last round.
         candidates: targets that responded in the last round, with their load.
         authorization: judgement of the request before its last dispatch.
+        permit: permit that each attempt needs, or None.
     """
 
     request: CallerRequest
@@ -112,6 +128,7 @@
     probe_count: int = 0
     candidates: tuple[ProbedTarget, ...] = ()
     authorization: Authorization = UNRESTRICTED
+    permit: DispatchPermit | None = None
 
     @property
     def tenant(self) -> Tenant | None:
--- a/packages/node/orioleloftd/requesthandler.py
+++ b/packages/node/orioleloftd/requesthandler.py
@@ -10,7 +10,7 @@
 from orioleloft_core.routes import Route, Tenant, TrafficSplitter
 from orioleloft_core.stopping import GracefulShutdown
 from orioleloft_core.tenants import UNRESTRICTED, Authorization, Denied
-from orioleloftd.allotmentexchange import AllotmentGate, Refused
+from orioleloftd.allotmentexchange import AllotmentGate, AllotmentPermit, Refused
 from orioleloftd.exposition import NodeMetrics
 from orioleloftd.forwarding import Forwarder
 from orioleloftd.logs import log_event
@@ -160,9 +160,10 @@
                 request.id, admission.code, admission.reason, admission.retry_after
             )
         service_name = self._traffic_splitter.next_service(route)
-        reply = await self._forwarder.forward(request, route, service_name, authorization)
+        permit = AllotmentPermit(self._allotments, admission, deadline)
+        reply = await self._forwarder.forward(request, route, service_name, authorization, permit)
         if reply.code and ERROR_RESPONSES[reply.code].outcome is ExecutionOutcome.NOT_RUN:
-            self._allotments.on_not_run(tenant, admission)
+            self._allotments.on_not_run(admission)
         return reply
 
     def _error_reply(self, request: CallerRequest, code: ErrorCode, text: str) -> CallerReply:
--- a/standins/allotmentfleet.py
+++ b/standins/allotmentfleet.py
@@ -20,7 +20,7 @@
 )
 from orioleloft_core.routes import Tenant
 from orioleloftd import codec
-from orioleloftd.allotmentexchange import Admitted, AllotmentExchange, Refused
+from orioleloftd.allotmentexchange import AllotmentExchange, Refused
 from orioleloftd.storesync import StoreError
 
 BOUNDS = AllotmentBounds(window=5.0, overage=0.1, slack=20.0)
@@ -97,6 +97,8 @@
         delay_s: bounds of the delay of datagrams, in seconds.
         is_cut: whether datagrams from one node to another are lost.
         is_store_up: whether the store answers.
+        queue_wait_s: longest time for which admitted requests wait for a target, in seconds.
+        queue_ends_at: time until which all admitted requests wait.
         datagrams: number of datagrams sent.
         datagram_bytes: size of the largest datagram.
         limits: tenants with the time from which they apply, in the order of the tables.
@@ -123,6 +125,8 @@
         self.delay_s = 0.0005, 0.002
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self.is_store_up = True
+        self.queue_wait_s = 0.0
+        self.queue_ends_at = 0.0
         self.datagrams = 0
         self.datagram_bytes = 0
         self.limits: list[tuple[float, tuple[Tenant, ...]]] = [(0.0, tuple(tenants))]
@@ -296,7 +300,17 @@
             return
         if self.rng.random() < not_run_share:
             await asyncio.sleep(self.rng.uniform(0.0, 0.6))
-            process.exchange.on_not_run(tenant, Admitted(outcome.token))
+            process.exchange.on_not_run(outcome)
+            return
+        wait = max(self.rng.uniform(0.0, self.queue_wait_s), self.queue_ends_at - self.now)
+        if wait > 0:
+            await asyncio.sleep(wait)
+        refused = await process.exchange.spend(tenant, outcome, math.inf)
+        if self.processes.get(name) is not process or not self._knows(name, tenant):
+            return
+        if refused is not None:
+            process.exchange.on_not_run(outcome)
+            self.refused.setdefault(tenant.name, []).append((self.now, refused))
             return
         self.ran.setdefault(tenant.name, []).append(Ran(self.now, name))
 
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -54,6 +54,7 @@
         self.fleet = AllotmentFleet(12, seed, [self.tenant], whole_rate_each=whole_rate_each)
         self.fleet.loss = self.rng.choice([0.0, 0.05, 0.3])
         self.fleet.delay_s = self.rng.choice([(0.0005, 0.002), (0.001, 0.05), (0.001, 2.0)])
+        self.fleet.queue_wait_s = self.rng.choice([0.0, 0.0, 0.7, 3.0])
         self.longest_pause_s = self.rng.choice([2.0, 6.0])
         self.added = 0
 
@@ -293,7 +294,7 @@
 
     @params(
         # Tenants, and the least share of their requests that run in the first 2 s.
-        ([LARGE], 0.65),
+        ([LARGE], 0.75),
         (SMALL, 0.3),
     )
     def test_loss_of_all_power(self, tenants, least):
@@ -319,6 +320,54 @@
         await asyncio.sleep(0.2)
         return fleet
 
+    @params(
+        # Tenant, longest wait for a target, nodes of the callers, least share of what is owed.
+        (LARGE, 2.0, ["n4"], 0.97),
+        (LARGE, 2.0, None, 0.8),
+        (tenant("small", 1.0, 5.0), 2.0, None, 0.95),
+    )
+    def test_requests_that_wait_for_a_target(self, limit, wait, names, least):
+        """Guards against requests that need one token for their arrival and one for their start."""
+        fleet = run_in_virtual_time(self.play_waits(limit, wait, names))
+        self.assertGreaterEqual(fleet.share(limit), least)
+        self.assertLessEqual(fleet.greatest_excess(limit.name), 0.0)
+
+    async def play_waits(self, limit, wait, names):
+        fleet = AllotmentFleet(15, 1, [limit])
+        await asyncio.sleep(WARM_UP_S)
+        fleet.queue_wait_s = wait
+        await fleet.send(20.0, limit.rate_per_s, limit, names or sorted(fleet.zones))
+        await asyncio.sleep(wait + 0.2)
+        return fleet
+
+    def test_requests_that_all_start_at_once(self):
+        """Guards against a queue that is worked off at once, with tokens that have lapsed."""
+        fleet = run_in_virtual_time(self.play_jam())
+        self.assertLessEqual(fleet.greatest_excess("large"), 0.0)
+        self.assertGreater(len(fleet.ran["large"]), 500)
+
+    async def play_jam(self):
+        fleet = AllotmentFleet(15, 1, [LARGE])
+        await asyncio.sleep(WARM_UP_S)
+        fleet.queue_ends_at = fleet.now + 4.0
+        await fleet.send(9.0, 130.0, LARGE, sorted(fleet.zones))
+        return fleet
+
+    def test_key_that_moves_to_another_tenant(self):
+        """Guards against requests that wait and then run on the tokens of another tenant."""
+        ran = run_in_virtual_time(self.play_move())
+        self.assertEqual(ran, 5 + 1)
+
+    async def play_move(self):
+        other = tenant("other", 0.01, 0.0)
+        fleet = AllotmentFleet(6, 1, [LARGE, other])
+        await asyncio.sleep(WARM_UP_S)
+        gate = fleet.processes["n4"].exchange
+        admitted = [await gate.admit(LARGE) for _ in range(10)]
+        kept = [await gate.spend(LARGE, each, math.inf) for each in admitted[:5]]
+        moved = [await gate.spend(other, each, math.inf) for each in admitted[5:]]
+        return (kept + moved).count(None)
+
     @params(0.0, 40.0, 80.0)
     def test_burst_at_one_node(self, other_load):
         """Guards against a burst that gets the part of one zone only, or is divided with others."""
@@ -527,6 +576,56 @@
         client.give_back(returned_at, "t", token)
         self.assertEqual(isinstance(client.take(returned_at, "t"), Taken), is_taken)
 
+    def test_token_that_lapses_in_the_queue(self):
+        """Guards against requests that start on tokens of long ago, and on one token together."""
+        client = self.make_client(tenant("t", 100.0, 0.0))
+        (asked,) = self.ask(client, 10.0, 2)
+        self.answer(client, 10.01, asked, 2)
+        first, second = client.take(10.01, "t"), client.take(10.01, "t")
+        for token in (first, second):
+            client.hold(10.01, "t", token)
+        # The slack covers 0.02 s of 100 requests per second.
+        self.assertIs(client.spend(10.51, "t", first), first)
+        self.assertNotIsInstance(client.spend(10.53, "t", second), Taken)
+        (asked,) = client.questions(10.6) or self.ask(client, 10.6)
+        self.answer(client, 10.61, asked, 1)
+        third = client.take(10.61, "t")
+        client.hold(10.61, "t", third)
+        self.assertIs(client.spend(10.62, "t", second), second)
+        self.assertNotIsInstance(client.spend(10.62, "t", third), Taken)
+
+    def test_retry_after_the_time_of_the_token(self):
+        """Guards against a retry that leaves its spent token to a request which waits."""
+        client = self.make_client(tenant("t", 2.0, 0.0))
+        (asked,) = self.ask(client, 10.0)
+        self.answer(client, 10.01, asked, 1)
+        retried = client.take(10.01, "t")
+        client.hold(10.01, "t", retried)
+        client.spend(10.02, "t", retried)
+        (asked,) = client.questions(10.4) or self.ask(client, 10.4)
+        self.answer(client, 10.41, asked, 1)
+        waiting = client.take(10.41, "t")
+        client.hold(10.41, "t", waiting)
+        self.assertIs(client.spend(10.6, "t", retried), retried)
+        self.assertNotIsInstance(client.spend(10.6, "t", waiting), Taken)
+        client.give_back(10.7, "t", waiting)
+        self.assertIsNone(client.admit_without_token(10.7, "t"))
+
+    def test_tenant_whose_requests_were_refused_later(self):
+        """Guards against a tenant refused for tokens that its refused requests took with them."""
+        client = self.make_client()
+        (asked,) = self.ask(client, 10.0)
+        self.answer(client, 10.01, asked, 1)
+        token = client.take(10.01, "t")
+        self.assertIsNone(client.admit_without_token(10.01, "t"))
+        client.give_back(10.8, "t", token)
+        admitted = client.admit_without_token(10.9, "t")
+        self.assertIsNone(client.admit_without_token(10.9, "t"))
+        # It is admitted, but not sent without a token, and lets no other request in.
+        self.assertNotIsInstance(client.spend(10.9, "t", admitted), Taken)
+        client.give_back(11.0, "t", admitted)
+        self.assertIsNone(client.admit_without_token(11.0, "t"))
+
     def test_refusals_of_all_holders(self):
         """Guards against questions about a tenant after all holders have said when to ask again."""
         client = self.make_client()
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -20,7 +20,7 @@
 from orioleloft_core.tenants import UNRESTRICTED, Authorized, Denied, Public
 from orioleloft_core.updates import StateUpdate, TableDelta
 from orioleloftd.logs import JsonFormatter
-from orioleloftd.requestcontext import CallerRequest
+from orioleloftd.requestcontext import CallerRequest, Rejection
 from orioleloftd.sharedstate import SharedState
 from orioleloftd.wire import NamedTenant, NoTenant, UnchangedTenant
 from standins.target import HEALTH_PATH, Behaviour, TargetEmulator
@@ -144,7 +144,7 @@
         self.harness.start(*behaviours)
         self.harness.table = table
 
-    def send(self, key=KEY_A, route=LOOKUP, method="GET", path="/x"):
+    def send(self, key=KEY_A, route=LOOKUP, method="GET", path="/x", **options):
         digest = None if key is None else key_digest(key)
         headers = httputil.HTTPHeaders({"Host": "a", "X-Request-Id": f"r-{key}-{path}"})
         if key is not None:
@@ -161,7 +161,7 @@
             "c",
             digest,
         )
-        sending = self.harness.forwarder.forward(request, route, "s")
+        sending = self.harness.forwarder.forward(request, route, "s", **options)
         return asyncio.get_running_loop().create_task(sending)
 
     @property
@@ -186,6 +186,31 @@
         self.assertEqual(reply.status, status)
         self.assertEqual(self.identities, [] if identity is None else [identity])
 
+    @params((None, 200, 1), (Rejection(ErrorCode.ALLOTMENT_EXCEEDED, "", 0.3), 429, 0))
+    @async_test
+    async def test_permit_of_an_attempt(self, rejection, status, run_count):
+        """Guards against requests at targets without a token, and a slot that is never released."""
+        self.start(Behaviour(slots=1))
+        chooser = self.harness.forwarder._chooser
+        chooser.release_unused = mock.Mock(wraps=chooser.release_unused)
+        permit = mock.Mock(spend=mock.AsyncMock(return_value=rejection))
+        reply = await self.send(KEY_A, permit=permit)
+        self.assertEqual((reply.status, len(self.harness.runs)), (status, run_count))
+        permit.spend.assert_awaited_once_with(TABLE.tenant_of(key_digest(KEY_A)))
+        self.assertEqual(chooser.release_unused.call_count, 1 - run_count)
+        self.assertEqual((await self.send(KEY_A)).status, 200)
+
+    @async_test
+    async def test_key_removed_while_the_permit_is_awaited(self):
+        """Guards against a request that is sent for a key removed in its wait for a token."""
+        self.start(Behaviour(slots=1))
+
+        async def spend(tenant):
+            self.harness.table = make_table(BOTH[1], version=2)
+
+        reply = await self.send(KEY_A, permit=mock.Mock(spend=spend))
+        self.assertEqual((reply.status, self.harness.runs), (401, []))
+
     @params(
         (make_table(BOTH[0], version=2), 401, None),
         (make_table(version=2), 200, {"Authorization": f"Token {KEY_B}"}),
