Tell refused callers when there is room for them all

Cause: a holder told each node the time of its next token, so that callers refused at several nodes returned for the same one. After a loss of all power a caller came up to 27 times.

Change: the time takes in what the holder has refused to other nodes in the last second, up to 2 s.

--- a/packages/core/orioleloft_core/allotments.py
+++ b/packages/core/orioleloft_core/allotments.py
@@ -92,6 +92,8 @@
 # bucket that starts nearly empty cannot spare it: with 100 requests per second, 0.72 of the
 # requests of the first 2 s ran, without it 0.85.
 KEEPING_DELAY_S = 5.0
+# Maximum time to the next token that takes refused callers at other nodes into account, in seconds.
+MAX_ROOM_S = 2.0
 # Time after which a holder that does not know a tenant is asked again, in seconds.
 UNKNOWN_WAIT_S = 0.1
 # Answers that are kept for repeated questions, and for how long, in seconds.
@@ -251,7 +253,11 @@
         pace = min(MAX_PACE_S, self._cap / self._rate / 2)
         if competing:
             pace = max(pace, min(MAX_SHARE_WAIT_S, total / (count * self._rate)))
-        return TenantGrant(granted, round(max(MIN_WAIT_S, room, pace), 4), round(room, 4))
+        # Callers that were refused at other nodes return as well.
+        before = max(0.0, 1 - self._tokens + sum(each.unmet for each in competing))
+        room_for_all = min(MAX_ROOM_S, before / self._rate)
+        wait = max(MIN_WAIT_S, room, pace)
+        return TenantGrant(granted, round(wait, 4), round(max(room, room_for_all), 4))
 
     def _asker(self, now: float, node: str) -> _Asker:
         """Returns what is known of a node, and forgets the nodes that ask no more."""
--- a/tests/test_allotments.py
+++ b/tests/test_allotments.py
@@ -471,6 +471,15 @@
         self.assertEqual(holder.answer(10.02, question(1, 5)), first)
         self.assertEqual(holder.answer(10.03, question(2, 100)).grants[0].count, 55)
 
+    def test_time_to_return_with_others(self):
+        """Guards against refused callers of all nodes who are told the time of the same token."""
+        holder = make_holder(tenant("t", 10.0, 0.0))
+        holder.answer(20.0, question(1, 100, "a"))
+        alone = holder.answer(20.0, question(2, 5, "a")).grants[0]
+        behind = holder.answer(20.0, question(1, 1, "b")).grants[0]
+        self.assertAlmostEqual(alone.room_s, 0.1)
+        self.assertAlmostEqual(behind.room_s, 0.1 + 5 * 0.1)
+
     def test_division_by_demand(self):
         """Guards against a node that gets all because it asks first or more often."""
         holder = make_holder(tenant("t", 100.0, 10.0))
