Give back the token of a caller that leaves while its request waits

Cause: cancelling a request skipped the place where tokens of requests that were not run are given back, so callers that gave up used up their tenant's allotment (found in the review of the merged parts).

Change: a token that no attempt has spent is given back on cancellation.

Result: the new test fails without the change (0 given back instead of 1) and passes with it.

--- a/packages/node/orioleloftd/requesthandler.py
+++ b/packages/node/orioleloftd/requesthandler.py
@@ -1,5 +1,6 @@
 """Answers callers' requests: routes them, forwards or refuses them, and records the result."""
 
+import asyncio
 import logging
 import math
 import random
@@ -161,7 +162,15 @@
             )
         service_name = self._traffic_splitter.next_service(route)
         permit = AllotmentPermit(self._allotments, admission, deadline)
-        reply = await self._forwarder.forward(request, route, service_name, authorization, permit)
+        try:
+            reply = await self._forwarder.forward(
+                request, route, service_name, authorization, permit
+            )
+        except asyncio.CancelledError:
+            # The caller has left. Without an attempt, its token is worth as much as before.
+            if admission.token is not None and not admission.token.is_spent:
+                self._allotments.on_not_run(admission)
+            raise
         if reply.code and ERROR_RESPONSES[reply.code].outcome is ExecutionOutcome.NOT_RUN:
             self._allotments.on_not_run(admission)
         return reply
