Hold a switch whose decider was suspended or whose targets went

Cause: a decider that was suspended for seconds during the switch wrote `completed` as soon as it woke up, as its time for old requests was over, while all other nodes had gone back to the old targets 1.5 s after its last directive; these targets then stop at once. Between the decision and the write (store away, conflict) `completed` was written also if the new targets had gone meanwhile, and during the switch with any number of slots above 0. A node that got the orders from one that had just started dropped the versions in use that came with them.

Change: during the switch and until the status is written, a pause of more than 1.5 s between steps, or less than half of the slots needed, leads back to the share. RolloutMemory.held keeps the known versions.

test_end_of_the_switch steps every 0.25 s up to the changed findings, as a decider does: a jump of 2 s stands for a suspended node now. Its expectations are the same.

--- a/packages/core/orioleloft_core/rolloutrestore.py
+++ b/packages/core/orioleloft_core/rolloutrestore.py
@@ -61,7 +61,9 @@
             if is_taken:
                 orders[order.service] = order
         return Rollouts(
-            StateVersion(read.version.revision, 0), tuple(orders[name] for name in sorted(orders))
+            StateVersion(read.version.revision, 0),
+            tuple(orders[name] for name in sorted(orders)),
+            read.known,
         )
 
 
--- a/packages/core/orioleloft_core/rollouts.py
+++ b/packages/core/orioleloft_core/rollouts.py
@@ -589,6 +589,7 @@
         self._chart = StateChart("rollouts")
         self._order = order
         self._switched_at = 0.0
+        self._stepped_at = 0.0
         self._reason = ""
         self.on_stored(order.state)
 
@@ -654,6 +655,9 @@
                 self._step_exposing(findings, reason)
             case "switching":
                 self._step_switching(findings, reason)
+            case "completing":
+                self._hold_switch(findings)
+        self._stepped_at = findings.elapsed
         return self.phase != before
 
     def _step_exposing(self, findings: RolloutFindings, reason: str) -> None:
@@ -680,9 +684,7 @@
             self._reason = "the store cannot be reached"
             self._chart.handle("switch_held")
             return
-        if findings.usable_slots == 0:
-            self._reason = "no warm target of the version"
-            self._chart.handle("switch_held")
+        if self._hold_switch(findings):
             return
         left = self._order.duration - findings.elapsed
         if findings.evidence >= FINAL_EVIDENCE:
@@ -698,6 +700,22 @@
             return
         self._chart.handle("switched")
 
+    def _hold_switch(self, findings: RolloutFindings) -> bool:
+        """Goes back to the share if the switch does not hold any more; returns whether it did so.
+
+        After `completed` the old targets stop, so it must not be written for targets that have
+        gone meanwhile, nor after the directive has lapsed because this node was suspended.
+        """
+        if findings.elapsed - self._stepped_at > DIRECTIVE_VALIDITY_S:
+            self._reason = "this node was suspended during the switch"
+        elif findings.usable_slots == 0:
+            self._reason = "no warm target of the version"
+        elif findings.capacity < MIN_CAPACITY:
+            self._reason = waiting_reason(findings)
+        else:
+            return False
+        return self._chart.handle("switch_held")
+
 
 def switch_time(duration: float) -> float:
     """Returns the time after an order at which the switch begins, in seconds."""
--- a/tests/test_rolloutrestore.py
+++ b/tests/test_rolloutrestore.py
@@ -13,7 +13,7 @@
 from orioleloft_core.messages import OutgoingDatagram, StoreAccess
 from orioleloft_core.registry import StateVersion, StoreRevision
 from orioleloft_core.rolloutrestore import RolloutMemory
-from orioleloft_core.rollouts import RolloutOrder, Rollouts, RolloutState
+from orioleloft_core.rollouts import RolloutOrder, Rollouts, RolloutState, ServiceVersions
 from orioleloft_core.routes import DEFAULT_LIMITS, RoutedService, RouteTable
 from orioleloftd.rolloutcontrol import RolloutControl
 from standins.virtualtime import run_in_virtual_time
@@ -57,6 +57,11 @@
         )
         self.assertEqual(held, make_rollouts(2, *expected, is_settled=0), name)
 
+    def test_known_versions(self):
+        """Guards against a new version in use, as a node that starts lost what a peer had told."""
+        read = dataclasses.replace(make_rollouts(2), known=(ServiceVersions("s", ("v1",)),))
+        self.assertEqual(RolloutMemory().held(make_rollouts(0), read).known, read.known)
+
     def test_removed(self):
         """Guards against an order that was withdrawn and is back with the copy."""
         memory = RolloutMemory()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -216,6 +216,7 @@
         (dict(evidence=6.0, elapsed=11.0), "rolling_back"),
         (dict(can_write=False), "exposing"),
         (dict(usable_slots=0), "exposing"),
+        (dict(usable_slots=4, running=9.0, is_drained=True), "exposing"),
         (dict(is_bad=True), "rolling_back"),
         (dict(elapsed=8.8, is_drained=True), "switching"),
         (dict(is_drained=True), "completing"),
@@ -227,10 +228,43 @@
         run = RolloutRun(order(state=RUNNING))
         usual = RolloutFindings(8.5, answers=50, usable_slots=10, old_slots=10)
         run.step(usual)
-        run.step(dataclasses.replace(usual, elapsed=9.3))
-        run.step(dataclasses.replace(usual, **({"elapsed": 9.4} | changes)))
+        changes = {"elapsed": 9.4} | changes
+        elapsed = 8.75
+        while elapsed < changes["elapsed"]:
+            run.step(dataclasses.replace(usual, elapsed=elapsed))
+            elapsed += 0.25
+        self.assertEqual(run.phase, "switching")
+        run.step(dataclasses.replace(usual, **changes))
         self.assertEqual(run.phase, phase)
 
+    def test_suspended_during_the_switch(self):
+        """Guards against `completed` at once after a pause in which all nodes have gone back."""
+        run = RolloutRun(order(state=RUNNING))
+        usual = RolloutFindings(8.5, answers=50, usable_slots=10, old_slots=10, is_drained=True)
+        run.step(usual)
+        run.step(dataclasses.replace(usual, elapsed=11.4))
+        self.assertEqual(run.phase, "exposing")
+
+    @params(
+        (dict(), "completing", COMPLETED),
+        (dict(usable_slots=0), "exposing", RUNNING),
+        (dict(usable_slots=4, running=9.0), "exposing", RUNNING),
+        (dict(is_bad=True), "rolling_back", ROLLED_BACK),
+        (dict(elapsed=14.0), "exposing", RUNNING),
+    )
+    def test_status_that_is_not_written_yet(self, changes, phase, wanted):
+        """Guards against `completed` for targets that are gone, or after all nodes went back.
+
+        The store may be away between the decision and the write, or the decider suspended.
+        """
+        run = RolloutRun(order(state=RUNNING))
+        usual = RolloutFindings(8.5, answers=50, usable_slots=10, old_slots=10, is_drained=True)
+        for elapsed in (8.5, 9.3):
+            run.step(dataclasses.replace(usual, elapsed=elapsed))
+        self.assertEqual(run.phase, "completing")
+        run.step(dataclasses.replace(usual, **({"elapsed": 9.5} | changes)))
+        self.assertEqual((run.phase, run.wanted_state), (phase, wanted))
+
 
 class FleetTest(unittest.TestCase):
     def run_fleet(self, scenario, **arguments):
@@ -289,6 +323,32 @@
 
         self.check_final(self.run_fleet(scenario, fault=fault), state)
 
+    def test_decider_is_suspended_during_the_switch(self):
+        """Guards against `completed` by a node that wakes up after all others have gone back."""
+
+        async def scenario(fleet):
+            decider = fleet.decider()
+            while decider.control._progress["s"].run.phase != "switching":
+                await fleet.send_for(0.01)
+            tick = decider.control.tick
+            decider.control.tick = lambda: None
+            for node in fleet.nodes.values():
+                # The others take the node for alive for this time.
+                node.control.is_decider = lambda: False
+            await fleet.send_for(3.2)
+            decider.control.tick = tick
+            for node in fleet.nodes.values():
+                del node.control.is_decider
+            decider.control.tick()
+            await fleet.send_for(0.1)
+            self.assertIs(fleet.state, RUNNING)
+            self.assertIs(await fleet.send_until_decided(), COMPLETED)
+            completed_at = fleet.store.history[-1][0]
+            recent = [each for each in fleet.sent if each.at > completed_at - 0.3]
+            self.assertEqual({each.version for each in recent}, {"v2"})
+
+        self.check_final(self.run_fleet(scenario), COMPLETED)
+
     def test_store_is_away_while_a_version_is_bad(self):
         """Guards against a bad version that gets requests until the store is back."""
 
