Soak: tenants, restores of the store, targets that leave, pause, are removed or send odd statuses

Change: changes are drawn by the seed from a random stream of their own, beside the faults: keys added, moved and removed, callers with unknown keys and none, a tenant with many times its allotment, restores from copies of 0.3 to 4 s with operator and targets writing again, targets that leave (with and without saying so in the store), answer 503 with Retry-After, send the statuses 000, 099 and 600, or are removed. Checks compare the records of callers and targets with the configurations that the store had confirmed; a node counts as in touch if no fault disturbed its process, its link to the store or the store. Each check has a control that breaks it. Targets that were told to drain while they were paused, and so were never restarted, are restarted at the recovery. One caller's limit: its HTTP client refuses an odd status, so the check reads the reason from the attempt; a control shows that it does.

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -12,7 +12,7 @@
 import math
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from tornado import httputil
 
@@ -71,6 +71,8 @@
         response_id: request id in the headers of the response, or empty.
         sent_at: start on the system's monotonic clock, in seconds.
         ended_at: end on the same clock, in seconds.
+        key: API key in the request, or empty.
+        fault: why there was no response, or empty.
     """
 
     id: str
@@ -83,6 +85,8 @@
     response_id: str
     sent_at: float
     ended_at: float
+    key: str = ""
+    fault: str = ""
 
 
 class Caller:
@@ -93,15 +97,25 @@
         zone: its availability zone.
         directories: nodes that serve the directory of entry addresses.
         rng: random source for paths, bodies and the choice of nodes.
+        draw_key: returns the API key for a request, or an empty string for none.
+        waits: whether it waits for as long as `Retry-After` says.
     """
 
     def __init__(
-        self, name: str, zone: str, directories: Sequence[Endpoint], rng: random.Random
+        self,
+        name: str,
+        zone: str,
+        directories: Sequence[Endpoint],
+        rng: random.Random,
+        draw_key: Callable[[], str] = lambda: "",
+        waits: bool = True,
     ) -> None:
         self._name = name
         self._zone = zone
         self._directories = list(directories)
         self._rng = rng
+        self._draw_key = draw_key
+        self._waits = waits
         self._client = HttpClient(time.monotonic)
         self._memory = MemoryAccount(MAX_RESPONSE_MEMORY_BYTES)
         self._addresses: list[Endpoint] = []
@@ -111,6 +125,11 @@
         self._attempt_count = 0
         self.attempts: list[CallerAttempt] = []
 
+    @property
+    def name(self) -> str:
+        """Prefix of the request ids."""
+        return self._name
+
     def pin_node(self, node: Endpoint) -> None:
         """Makes the caller send all requests to one node instead of those from a directory."""
         self._addresses = [node]
@@ -124,9 +143,10 @@
         """
         path = f"{kind.path_prefix}{self._name}-{self._rng.randrange(10**9)}"
         body = "".join(self._rng.choices("abcdef", k=kind.body_bytes))
+        key = self._draw_key()
         last = None
         for _ in range(MAX_ATTEMPTS):
-            last, retry_after = await self._send_once(kind, path, body)
+            last, retry_after = await self._send_once(kind, path, body, key)
             if last is None:
                 return None
             self.attempts.append(last)
@@ -134,11 +154,11 @@
             if last.status not in NOT_EXECUTED_STATUSES and not may_retry:
                 return last
             self._drop_connection()
-            await asyncio.sleep(retry_after)
+            await asyncio.sleep(retry_after if self._waits else 0.0)
         return last
 
     async def _send_once(
-        self, kind: RequestKind, path: str, body: str
+        self, kind: RequestKind, path: str, body: str, key: str
     ) -> tuple[CallerAttempt | None, float]:
         endpoint, connection = await self._connect()
         if connection is None:
@@ -149,8 +169,12 @@
         headers[wire.DEADLINE_MS] = str(round(REQUEST_TIMEOUT_S * 1000))
         if body:
             headers["Content-Length"] = str(len(body))
+        if key:
+            headers[wire.AUTHORIZATION] = f"{wire.KEY_SCHEME} {key}"
+            if self._attempt_count % 4 == 0:
+                headers[wire.TENANT] = "stated-by-the-caller"
         sent_at = time.monotonic()
-        status, response_body, response_id, retry_after = 0, b"", "", 0.0
+        status, response_body, response_id, retry_after, fault = 0, b"", "", 0.0, ""
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
                 response = await connection.exchange(
@@ -159,7 +183,8 @@
             status, response_body = response.status, response.body
             response_id = response.headers.get(wire.REQUEST_ID, "")
             retry_after = float(response.headers.get(wire.RETRY_AFTER, 0.0))
-        except (ExchangeError, TimeoutError):
+        except (ExchangeError, TimeoutError) as error:
+            fault = str(error) or type(error).__name__
             self._failed_addresses.add(endpoint)
         if not connection.is_usable:
             self._drop_connection()
@@ -175,6 +200,8 @@
             response_id,
             sent_at,
             ended_at,
+            key,
+            fault,
         )
         return attempt, retry_after
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -105,6 +105,7 @@
     seeds: Sequence[str],
     grace_period: float,
     is_fleet_bootstrap: bool,
+    contracts: str = "",
 ) -> pathlib.Path:
     """Writes the settings file of an entry node.
 
@@ -118,6 +119,7 @@
         seeds: HOST:PORT of the control listeners of seed nodes.
         grace_period: time between the request to stop and the kill, in seconds.
         is_fleet_bootstrap: whether the node may start without reaching another one.
+        contracts: parts of the platform's rules that are in force, or empty for none.
 
     Returns:
         The path of the file.
@@ -131,6 +133,8 @@
         f"bounds=grace_period={grace_period:g}s",
         *(f"listen.{service}={host}:{port}" for service, port in ports.items()),
     ]
+    if contracts:
+        settings.append(f"contracts={contracts}")
     path = folder / f"{name}.conf"
     path.write_text("\n".join(settings) + "\n")
     return path
--- a/standins/soak/cluster.py
+++ b/standins/soak/cluster.py
@@ -6,13 +6,15 @@
 import pathlib
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from orioleloft_core.entrysettings import Endpoint
 from orioleloftd.connections import ExchangeError, HttpClient
 from standins.processes import HOST, Processes, free_ports, publish, write_node_settings
 from standins.proxy import LinkProxy
-from standins.target import Run
+from standins.soak.records import DisturbanceLog
+from standins.target import Arrival, Run, Statement
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 ZONES = ("za", "zb", "zc")
@@ -32,14 +34,27 @@
         run_dir: directory for the settings and logs of the processes.
         processes: starts the processes and sends signals to them.
         nodes: number of entry nodes.
+        contracts: parts of the platform's rules that are in force, or empty for none.
+        sends_era: whether the store states its era.
 
     Attributes:
         paused: processes that a fault has stopped with SIGSTOP.
         stopped: processes that a fault has ended and not yet restarted.
+        draining: targets that were told to drain and have not been restarted.
+        closed_zones: zones that an operator has closed.
+        store_mode: mode of the store, `up` if it has no fault.
+        disturbances: times in which processes, links or the store were disturbed.
         failures: messages on processes that did not do what was asked of them.
     """
 
-    def __init__(self, run_dir: pathlib.Path, processes: Processes, nodes: int) -> None:
+    def __init__(
+        self,
+        run_dir: pathlib.Path,
+        processes: Processes,
+        nodes: int,
+        contracts: str = "",
+        sends_era: bool = False,
+    ) -> None:
         self._run_dir = run_dir
         self.processes = processes
         self.client = HttpClient(time.monotonic)
@@ -60,6 +75,13 @@
         }
         self.paused: set[str] = set()
         self.stopped: set[str] = set()
+        self.draining: set[str] = set()
+        self.closed_zones: set[str] = set()
+        self.store_mode = "up"
+        self.disturbances = DisturbanceLog()
+        self._contracts = contracts
+        self._sends_era = sends_era
+        self._restorable_since = 0.0
         self._started_once: set[str] = set()
         self.failures: list[str] = []
 
@@ -68,17 +90,27 @@
         """Names of all targets, such as `ledger-03`."""
         return list(self.target_ports)
 
-    async def start(self) -> None:
-        """Starts the store, targets and nodes, and waits until all nodes are ready.
+    async def start_store(self) -> None:
+        """Starts the store and publishes the first configuration.
 
         Raises:
-            TimeoutError: the store or a node was not ready within `HANG_TIMEOUT_S`.
+            TimeoutError: the store was not ready within `HANG_TIMEOUT_S`.
         """
         self.processes.start("store", "-m", "standins.store", f"--port={self.store.port}")
         await self.wait_until("store", lambda: self._responds_ok(self.store, "/control"))
         store = f"{self.store.host}:{self.store.port}"
         (self._run_dir / "orioleloft.ini").write_text(f"[store]\naddress = {store}\noperator = s\n")
         publish(self._run_dir, ROOT / "examples" / "start.ini")
+        if self._sends_era:
+            await self._control_store({"sends_era": True})
+
+    async def start(self) -> None:
+        """Starts the targets and nodes, and waits until all nodes are ready.
+
+        Raises:
+            TimeoutError: a node was not ready within `HANG_TIMEOUT_S`.
+        """
+        self._restorable_since = time.monotonic()
         for name, link in self.target_links.items():
             await link.listen(self.target_ports[name][1])
             self.start_process(name)
@@ -93,6 +125,7 @@
         is_node = name in self.node_hosts
         arguments = self._node_arguments(name) if is_node else self._target_arguments(name)
         self._started_once.add(name)
+        self.draining.discard(name)
         self.processes.start(name, "-m", *arguments)
 
     def _node_arguments(self, name: str) -> list[str]:
@@ -107,6 +140,7 @@
             seeds=seeds,
             grace_period=GRACE_PERIOD_S,
             is_fleet_bootstrap=name not in self._started_once,
+            contracts=self._contracts,
         )
         return ["orioleloftd.main", f"--settings={path}"]
 
@@ -123,8 +157,19 @@
 
     def runs(self) -> list[Run]:
         """Returns the requests that all targets have started to run, parsed from their logs."""
+        return [Run(**each) for each in self._logged("request_id")]
+
+    def arrivals(self) -> list[Arrival]:
+        """Returns the requests that have reached all targets, parsed from their logs."""
+        return [Arrival(**each) for each in self._logged("arrived_id")]
+
+    def statements(self) -> list[Statement]:
+        """Returns the answers of all targets that state something, parsed from their logs."""
+        return [Statement(**each) for each in self._logged("answered_id")]
+
+    def _logged(self, first_field: str) -> list[dict[str, Any]]:
         lines = [line for name in self.targets for line in self.processes.log(name).splitlines()]
-        return [Run(**json.loads(line)) for line in lines if line.startswith('{"request_id"')]
+        return [json.loads(line) for line in lines if line.startswith(f'{{"{first_field}"')]
 
     def is_up(self, name: str) -> bool:
         """Whether no fault has ended or paused a process."""
@@ -150,16 +195,53 @@
 
     async def set_store_mode(self, mode: str) -> None:
         """Injects or clears a fault of the store."""
-        body = json.dumps({"mode": mode}).encode()
+        self.store_mode = mode
+        await self._control_store({"mode": mode})
+
+    async def restore_store(self, age: float) -> None:
+        """Restores the store from a copy that is some seconds old, but has the first keys."""
+        age = min(age, time.monotonic() - self._restorable_since)
+        await self._control_store({"restore": {"seconds": age}})
+
+    async def _control_store(self, command: Mapping[str, Any]) -> None:
         await self.client.call(
-            HOST, self.store.port, "POST", "/control", body=body, timeout=HANG_TIMEOUT_S
+            HOST,
+            self.store.port,
+            "POST",
+            "/control",
+            body=json.dumps(command).encode(),
+            timeout=HANG_TIMEOUT_S,
         )
 
+    async def call_store(
+        self, method: str, path: str, document: Mapping[str, Any] | None = None
+    ) -> tuple[int, Any]:
+        """Sends a request to the API of the store; returns status and document of the response.
+
+        Raises:
+            ExchangeError: no response within 2 s.
+        """
+        response = await self.client.call(
+            HOST,
+            self.store.port,
+            method,
+            f"/v1/objects/{path}",
+            body=json.dumps(document).encode() if document else b"",
+            timeout=2.0,
+        )
+        return response.status, json.loads(response.body) if response.body else None
+
+    async def close_zone(self, zone: str) -> None:
+        """Writes the evacuation of a zone to the store."""
+        self.closed_zones.add(zone)
+        with contextlib.suppress(ExchangeError):
+            await self.call_store("POST", "evacuations", {"metadata": {"name": zone}, "spec": {}})
+
     async def reopen_zone(self, zone: str) -> None:
         """Removes the evacuation of a zone from the store."""
-        path = f"/v1/objects/evacuations/{zone}"
+        self.closed_zones.discard(zone)
         with contextlib.suppress(ExchangeError):
-            await self.client.call(HOST, self.store.port, "DELETE", path, timeout=2.0)
+            await self.call_store("DELETE", f"evacuations/{zone}")
 
     async def close(self) -> None:
         """Closes the proxies of all links."""
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 
 from orioleloft_adapter.store import TARGETS_KIND
-from orioleloftd.connections import ExchangeError
 from standins import oddentries
 from standins.processes import HOST
 from standins.proxy import LinkFault, LinkProxy
 from standins.soak.cluster import HANG_TIMEOUT_S, ZONES, Cluster
+from standins.soak.records import Part
 from standins.target import BEHAVIOUR_PATH, DRAIN_PATH
 
 # Ranges of the interval between fault injections and of the duration of a fault, in seconds. Faults
@@ -154,11 +154,12 @@
     async def _kill_and_restart(self, name: str, seconds: float) -> None:
         if not self._cluster.is_up(name):
             return
-        self._cluster.stopped.add(name)
-        self._cluster.processes.kill(name)
-        await asyncio.sleep(seconds / 3)
-        self._cluster.start_process(name)
-        self._cluster.stopped.discard(name)
+        with self._cluster.disturbances.recording(Part.PROCESS, name):
+            self._cluster.stopped.add(name)
+            self._cluster.processes.kill(name)
+            await asyncio.sleep(seconds / 3)
+            self._cluster.start_process(name)
+            self._cluster.stopped.discard(name)
 
     async def _kill_half_of_nodes(self, name: str, seconds: float) -> None:
         names = list(self._cluster.node_hosts)
@@ -170,25 +171,27 @@
     async def _pause_process(self, name: str, seconds: float) -> None:
         if not self._cluster.is_up(name):
             return
-        self._cluster.paused.add(name)
-        self._cluster.processes.signal(name, signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        self._cluster.processes.signal(name, signal.SIGCONT)
-        self._cluster.paused.discard(name)
+        with self._cluster.disturbances.recording(Part.PROCESS, name):
+            self._cluster.paused.add(name)
+            self._cluster.processes.signal(name, signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            self._cluster.processes.signal(name, signal.SIGCONT)
+            self._cluster.paused.discard(name)
 
     async def _restart_gracefully(self, name: str, seconds: float) -> None:
         if not self._cluster.is_up(name):
             return
-        self._cluster.stopped.add(name)
-        self._cluster.processes.signal(name, signal.SIGTERM)
-        await asyncio.sleep(0.1)
-        # A second SIGTERM must not interrupt a graceful stop.
-        with contextlib.suppress(ProcessLookupError):
+        with self._cluster.disturbances.recording(Part.PROCESS, name):
+            self._cluster.stopped.add(name)
             self._cluster.processes.signal(name, signal.SIGTERM)
-        await self._cluster.wait_until(f"stop of {name}", lambda: self._cluster.has_ended(name))
-        self._cluster.check_exit_code(name, self._cluster.processes.wait(name, HANG_TIMEOUT_S))
-        self._cluster.start_process(name)
-        self._cluster.stopped.discard(name)
+            await asyncio.sleep(0.1)
+            # A second SIGTERM must not interrupt a graceful stop.
+            with contextlib.suppress(ProcessLookupError):
+                self._cluster.processes.signal(name, signal.SIGTERM)
+            await self._cluster.wait_until(f"stop of {name}", lambda: self._cluster.has_ended(name))
+            self._cluster.check_exit_code(name, self._cluster.processes.wait(name, HANG_TIMEOUT_S))
+            self._cluster.start_process(name)
+            self._cluster.stopped.discard(name)
 
     async def _reload_settings(self, name: str, seconds: float) -> None:
         if self._cluster.is_up(name) and await self._cluster.is_ready(
@@ -197,10 +200,13 @@
             self._cluster.processes.signal(name, signal.SIGHUP)
 
     def _link_fault_injector(self, links: dict[str, LinkProxy], fault: LinkFault) -> Callable:
+        part = Part.STORE_LINK if links is self._cluster.store_links else Part.TARGET_LINK
+
         async def apply(name: str, seconds: float) -> None:
-            links[name].set_fault(fault)
-            await asyncio.sleep(seconds)
-            links[name].set_fault(LinkFault.NONE)
+            with self._cluster.disturbances.recording(part, name):
+                links[name].set_fault(fault)
+                await asyncio.sleep(seconds)
+                links[name].set_fault(LinkFault.NONE)
 
         return apply
 
@@ -228,14 +234,16 @@
 
     async def _drain_and_restart(self, name: str, seconds: float) -> None:
         await self._cluster.post_to_target(name, DRAIN_PATH, {})
+        self._cluster.draining.add(name)
         await asyncio.sleep(2.5)
         await self._kill_and_restart(name, seconds)
 
     def _store_fault_injector(self, mode: str) -> Callable:
         async def apply(name: str, seconds: float) -> None:
-            await self._cluster.set_store_mode(mode)
-            await asyncio.sleep(seconds)
-            await self._cluster.set_store_mode("up")
+            with self._cluster.disturbances.recording(Part.STORE, "store"):
+                await self._cluster.set_store_mode(mode)
+                await asyncio.sleep(seconds)
+                await self._cluster.set_store_mode("up")
 
         return apply
 
@@ -265,11 +273,6 @@
         )
 
     async def _close_and_reopen_zone(self, zone: str, seconds: float) -> None:
-        path = "/v1/objects/evacuations"
-        body = json.dumps({"metadata": {"name": zone}, "spec": {}}).encode()
-        with contextlib.suppress(ExchangeError):
-            await self._cluster.client.call(
-                HOST, self._cluster.store.port, "POST", path, body=body, timeout=2.0
-            )
+        await self._cluster.close_zone(zone)
         await asyncio.sleep(seconds)
         await self._cluster.reopen_zone(zone)
--- a/standins/soak/load.py
+++ b/standins/soak/load.py
@@ -6,6 +6,7 @@
 from orioleloft_core.entrysettings import Endpoint
 from standins.callers import Caller, CallerAttempt, RequestKind
 from standins.soak.cluster import ZONES, Cluster
+from standins.soak.operator import draw_key
 
 REQUEST_KINDS = (
     RequestKind("look-up", "lookups.example", "GET", "/api/", 0, True),
@@ -13,6 +14,9 @@
 )
 # Mean think time of a caller between two requests, in seconds.
 THINK_TIME_S = 0.03
+# Callers of the tenant that sends many times its allotment, beside the other callers.
+HOT_CALLERS = 3
+HOT_KEY = "key-of-hot"
 
 
 class Load:
@@ -21,11 +25,13 @@
     Args:
         cluster: entry nodes to send to.
         rng: random source of the callers.
+        key_rng: random source of their keys, or None for callers without keys.
     """
 
-    def __init__(self, cluster: Cluster, rng: random.Random) -> None:
+    def __init__(self, cluster: Cluster, rng: random.Random, key_rng: random.Random | None) -> None:
         self._cluster = cluster
         self._rng = rng
+        self._key_rng = key_rng
         self.callers: list[Caller] = []
         self._is_stopped = False
 
@@ -36,13 +42,38 @@
             for host in self._cluster.node_hosts.values()
         ]
         self.callers = [
-            Caller(f"c{i}", ZONES[i % len(ZONES)], directories, random.Random(self._rng.random()))
+            Caller(
+                f"c{i}",
+                ZONES[i % len(ZONES)],
+                directories,
+                random.Random(self._rng.random()),
+                self._draw_key,
+            )
             for i in range(callers)
         ]
+        if self._key_rng is not None:
+            self.callers += [
+                Caller(
+                    f"h{i}",
+                    ZONES[i % len(ZONES)],
+                    directories,
+                    random.Random(self._key_rng.random()),
+                    lambda: HOT_KEY,
+                    waits=False,
+                )
+                for i in range(HOT_CALLERS)
+            ]
         await asyncio.gather(*[self._run_caller(caller) for caller in self.callers])
 
+    def _draw_key(self) -> str:
+        return draw_key(self._key_rng) if self._key_rng is not None else ""
+
     async def _run_caller(self, caller: Caller) -> None:
-        rng = random.Random(self._rng.random())
+        # The callers of the hot tenant draw from the other source, so that a seed means the same
+        # faults with and without tenants.
+        is_hot = caller.name.startswith("h")
+        source = self._key_rng if is_hot and self._key_rng is not None else self._rng
+        rng = random.Random(source.random())
         while not self._is_stopped:
             await asyncio.sleep(rng.expovariate(1 / THINK_TIME_S))
             await caller.send(rng.choice(REQUEST_KINDS))
--- a/standins/soak/recovery.py
+++ b/standins/soak/recovery.py
@@ -29,12 +29,18 @@
         cluster: processes and links.
         load: callers that go on while the checks are made.
         rng: random source for the names of callers.
+        key: API key of the requests that nodes must serve, or empty for none.
+
+    Attributes:
+        recovered_at: time from which all nodes served, on the monotonic clock in seconds.
     """
 
-    def __init__(self, cluster: Cluster, load: Load, rng: random.Random) -> None:
+    def __init__(self, cluster: Cluster, load: Load, rng: random.Random, key: str = "") -> None:
         self._cluster = cluster
         self._load = load
         self._rng = rng
+        self._key = key
+        self.recovered_at = 0.0
 
     async def recover(self, timeout: float) -> None:
         """Clears all faults and waits until all nodes serve; adds those that do not to `failures`.
@@ -44,6 +50,10 @@
         """
         await self._cluster.set_store_mode("up")
         await self._cluster.reopen_zone("za")
+        for name in tuple(self._cluster.draining):
+            # A target that was paused when it was to be restarted drains still.
+            self._cluster.processes.kill(name)
+            self._cluster.start_process(name)
         for link in (*self._cluster.store_links.values(), *self._cluster.target_links.values()):
             link.set_fault(LinkFault.NONE)
         deadline = time.monotonic() + timeout
@@ -54,10 +64,12 @@
                 self._cluster.failures.append(
                     f"{name} does not serve {timeout:g} s after the last fault"
                 )
+        self.recovered_at = time.monotonic()
 
     async def _serves_requests(self, host: str) -> bool:
         """Whether a node answers ten consecutive requests of each kind with 200."""
-        caller = Caller(f"p{self._rng.randrange(10**9)}", "", (), random.Random(1))
+        name = f"p{self._rng.randrange(10**9)}"
+        caller = Caller(name, "", (), random.Random(1), lambda: self._key)
         caller.pin_node(Endpoint(host, self._cluster.ports["front"]))
         self._load.callers.append(caller)
         for kind in REQUEST_KINDS * 10:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -1,15 +1,19 @@
 """One soak run, from the start of the processes to the verdict."""
 
 import asyncio
+import itertools
 import pathlib
 import random
 
 from standins.callers import CallerAttempt
-from standins.oracle import find_violations
 from standins.processes import Processes, killing_at_exit
+from standins.soak.changes import ChangeInjector, draw_plan
 from standins.soak.cluster import Cluster
 from standins.soak.faults import Fault, FaultInjector
+from standins.soak.judging import judge
 from standins.soak.load import Load
+from standins.soak.operator import ALLOTMENTS, Operator
+from standins.soak.records import Records
 from standins.soak.recovery import Recovery
 
 # Time within which the fleet must serve again after the last fault, in seconds; the users' bound is
@@ -42,21 +46,46 @@
         TimeoutError: a process did not start or stop within `HANG_TIMEOUT_S`.
     """
     with killing_at_exit(Processes(run_dir)) as processes:
-        cluster = Cluster(run_dir, processes, nodes)
         rng = random.Random(seed)
-        load = Load(cluster, rng)
+        # Draws of their own, so that the faults of a seed stay as they were without them.
+        change_rng = random.Random(f"{seed} changes")
+        plan = draw_plan(change_rng)
+        contracts = "quota" if plan.has_tenants else ""
+        cluster = Cluster(run_dir, processes, nodes, contracts, plan.has_restores)
+        operator = Operator(cluster, change_rng, plan.has_tenants)
+        changes = ChangeInjector(cluster, operator, plan, change_rng)
+        key_rng = random.Random(f"{seed} keys") if plan.has_tenants else None
+        load = Load(cluster, rng, key_rng)
         injector = FaultInjector(cluster, rng)
-        recovery = Recovery(cluster, load, rng)
+        recovery = Recovery(cluster, load, rng, "key-of-main" if plan.has_tenants else "")
         try:
+            await cluster.start_store()
+            await operator.write_first_keys()
             await cluster.start()
             sending = asyncio.get_running_loop().create_task(load.run(callers))
             await asyncio.sleep(1.0)
-            faults = await injector.inject_faults(seconds)
+            injected = await asyncio.gather(
+                injector.inject_faults(seconds), changes.inject_changes(seconds)
+            )
+            faults = sorted(itertools.chain(*injected), key=lambda fault: fault.start_s)
             await recovery.recover(recovery_timeout)
+            await operator.change_keys()
             await recovery.check_rate_limits()
             await recovery.stop_nodes()
             await sending
-            failures = cluster.failures + find_violations(load.attempts, cluster.runs())
-            return faults, failures, load.attempts
+            records = Records(
+                attempts=load.attempts,
+                runs=cluster.runs(),
+                arrivals=cluster.arrivals(),
+                statements=cluster.statements(),
+                node_of_host={host: name for name, host in cluster.node_hosts.items()},
+                disturbances=cluster.disturbances.entries,
+                configurations=operator.configurations,
+                allotments=ALLOTMENTS,
+                removals=changes.removals,
+                targets=cluster.targets,
+                recovered_at=recovery.recovered_at,
+            )
+            return faults, cluster.failures + judge(records), load.attempts
         finally:
             await cluster.close()
--- a/standins/target.py
+++ b/standins/target.py
@@ -56,6 +56,9 @@
         leaves: whether answers state that the process leaves.
         pause: time in seconds for which probes and requests are refused with 503; an empty text
             refuses none.
+        odd_status_share: share of requests that run and are answered with `odd_status`.
+        odd_status: status of such answers as it stands in the status line, such as `000`.
+        registers: whether the process renews its registration in the store.
         late_share: share of successes that are followed by a duplicate after a delay of up to
             `MAX_DUPLICATE_DELAY_S`, when the next response on the connection may be due.
         repeated_refusal_share: share of refusals that are written again after such a delay.
@@ -84,6 +87,47 @@
     reports_load: bool = True
     leaves: bool = False
     pause: str = ""
+    odd_status_share: float = 0.0
+    odd_status: str = "000"
+    registers: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that has reached a target; the fields are the keys of the printed JSON.
+
+    Attributes:
+        arrived_id: id of the request.
+        target: id of the target.
+        started_ms: start of its process in Unix milliseconds.
+        at: time on the system's monotonic clock, in seconds.
+    """
+
+    arrived_id: str
+    target: str
+    started_ms: int
+    at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Statement:
+    """What an answer to a request states; the fields are the keys of the printed JSON.
+
+    Attributes:
+        answered_id: id of the request.
+        target: id of the target.
+        started_ms: start of its process in Unix milliseconds.
+        at: time on the system's monotonic clock, in seconds.
+        leaves: whether it states that the process leaves.
+        pause_s: pause that it asks for, in seconds, or 0.0 for none.
+    """
+
+    answered_id: str
+    target: str
+    started_ms: int
+    at: float
+    leaves: bool
+    pause_s: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -117,6 +161,7 @@
         behaviour: initial settings.
         seed: seed of its random choices, combined with the name.
         on_run: called for each request that starts to run.
+        on_event: called for each request that arrives and each answer that states something.
     """
 
     def __init__(
@@ -125,6 +170,7 @@
         behaviour: Behaviour,
         seed: int = 1,
         on_run: Callable[[Run], None] = lambda run: None,
+        on_event: Callable[[Arrival | Statement], None] = lambda event: None,
     ) -> None:
         self.name = name
         self.behaviour = behaviour
@@ -136,6 +182,7 @@
         self.waiting = 0
         self.is_draining = False
         self._on_run = on_run
+        self._on_event = on_event
         self._rng = random.Random(f"{seed} {name}")
         self._started_at = time.monotonic()
         self.started_ms = time.time_ns() // 1_000_000
@@ -188,6 +235,9 @@
             _write_response(request, 421, {wire.RESPONDING_TARGET: self.name})
             return
         self.arrived_at.append(time.monotonic())
+        if request.path != HEALTH_PATH:
+            request_id = request.headers.get(wire.REQUEST_ID, "")
+            self._on_event(Arrival(request_id, self.name, self.started_ms, time.monotonic()))
         task = asyncio.get_running_loop().create_task(self._run_request(request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -244,10 +294,18 @@
     def _refuse(self, request: httputil.HTTPServerRequest, id_header: dict[str, str]) -> None:
         headers = self._load_headers() | self._pause_header() | id_header
         headers[wire.NOT_EXECUTED] = "1"
+        self._report_statement(id_header, float(self.behaviour.pause or 0))
         _write_response(request, 503, headers)
         if self._rng.random() < self.behaviour.repeated_refusal_share:
             self._write_later(request.connection.stream, _encode(503, headers))
 
+    def _report_statement(self, id_header: dict[str, str], pause_s: float = 0.0) -> None:
+        leaves = self.behaviour.leaves
+        if leaves or pause_s:
+            request_id = id_header[wire.REQUEST_ID]
+            now = time.monotonic()
+            self._on_event(Statement(request_id, self.name, self.started_ms, now, leaves, pause_s))
+
     def _write_later(self, stream: iostream.IOStream, data: bytes) -> None:
         """Writes bytes after a random delay, when the next response may be due."""
         delay = self._rng.random() * MAX_DUPLICATE_DELAY_S
@@ -280,6 +338,11 @@
             _write_if_open(stream, head[: self._rng.randrange(len(head))])
             stream.close()
             return
+        if behaviour.odd_status_share and self._rng.random() < behaviour.odd_status_share:
+            _write_if_open(stream, _encode(behaviour.odd_status, headers, body))
+            stream.close()
+            return
+        self._report_statement(id_header)
         _write_response(request, 200, headers, body)
         duplicate = _encode(200, headers, body)
         if self._rng.random() < behaviour.stale_share:
@@ -334,7 +397,7 @@
     }
 
 
-def _encode(status: int, headers: dict[str, str], body: bytes = b"") -> bytes:
+def _encode(status: int | str, headers: dict[str, str], body: bytes = b"") -> bytes:
     lines = [f"{name}: {value}" for name, value in headers.items()]
     head = "\r\n".join([f"HTTP/1.1 {status} Answer", *lines, f"Content-Length: {len(body)}"])
     return head.encode() + b"\r\n\r\n" + body
@@ -408,20 +471,25 @@
 _REGISTRATION_INTERVAL_S = 0.5
 
 
-def _print_run(run: Run) -> None:
-    print(json.dumps(dataclasses.asdict(run)), flush=True)
+def _print_event(event: Run | Arrival | Statement) -> None:
+    print(json.dumps(dataclasses.asdict(event)), flush=True)
+
+
+def _ignore_event(event: Run | Arrival | Statement) -> None:
+    del event
 
 
 async def _run_targets() -> None:
     store = parse_endpoint(_STORE.value)
     client = HttpClient(time.monotonic)
     targets = []
-    on_run = _print_run if _PRINTS_RUNS.value else lambda run: None
+    on_event = _print_event if _PRINTS_RUNS.value else _ignore_event
     for index in range(_FIRST.value, _FIRST.value + _COUNT.value):
         behaviour = Behaviour(
             slots=_SLOTS.value, work_s=_WORK_MS.value / 1000, cold_s=_COLD_S.value
         )
-        target = TargetEmulator(f"{_SERVICE.value}-{index:02d}", behaviour, on_run=on_run)
+        name = f"{_SERVICE.value}-{index:02d}"
+        target = TargetEmulator(name, behaviour, on_run=on_event, on_event=on_event)
         port = target.listen(_HOST.value, _PORT.value)
         port = _ADVERTISED_PORT.value or port
         targets.append((target, port, _ZONES.value[index % len(_ZONES.value)]))
@@ -430,6 +498,8 @@
     while True:
         sequence += 1
         for target, port, zone in targets:
+            if not target.behaviour.registers:
+                continue
             document = target.registration(_SERVICE.value, _HOST.value, port, zone, sequence)
             try:
                 await _register(client, store, document)
