A watcher that starts during a hold does not outrank nodes that know of removals

A restarted node took its list from a peer, read the store during the hold after a restore, and counted as continuous from that read on. After the next restore its list, with two targets that were removed before it started, got a full version and replaced the lists of the nodes that remembered the removals. They sent requests to the removed targets 4.9 s after the removal. The rule in docs/design/store-era.md is that a node must have watched to the end of the hold.

Change: a resource is continuous from the first complete read on. A read during a hold leaves the state as it is.

--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -373,7 +373,9 @@
         self._listener = listener
         self._store_sync = sync
         self._revision = 0
-        # Whether no change can have been missed since the last read, other than by a restore.
+        # Whether no change can have been missed since a complete read, other than by a restore. A
+        # read during a hold is not complete: a node that begins with one does not know what the
+        # copy lacks, and after another restore neither.
         self._is_continuous = False
         self._call_delay = 0.0
 
@@ -465,12 +467,12 @@
             self._last_outdated = None
             self._deliver(snapshot)
             self._hold.confirm(now, self._version_in_force())
+            self._is_continuous = True
         else:
             self._note_named(snapshot)
             version = self._version_to_rank(in_force, snapshot.version)
             self._deliver_outdated(dataclasses.replace(snapshot, version=version), self._named)
         self._revision = snapshot.version.revision
-        self._is_continuous = True
 
     def _note_named(self, snapshot: Any) -> None:
         last, self._last_outdated = self._last_outdated, snapshot
@@ -572,4 +574,4 @@
         else:
             self._listener.on_targets(targets)
             self._hold.confirm(now, self._listener.state_versions.targets)
-        self._is_continuous = True
+            self._is_continuous = True
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -365,6 +365,39 @@
 
         run_in_virtual_time(run())
 
+    def test_watcher_that_starts_during_the_hold(self):
+        """Guards against a node that never knew a removed target and brings it back to all others.
+
+        On seed 4 of the soak, a restarted node began to watch between two restores, and after the
+        second one its list outranked those of the nodes that knew of the removal.
+        """
+
+        async def run():
+            await self.prepare()
+            self.restore()
+            while self.fleet.nodes["n3"].state.era < 2:
+                await self.watch_nodes(0.1)
+            node = self.fleet.start("n9")
+            known = node.state.state_versions
+            node.state.apply(self.fleet.nodes["n3"].state.update_since(known), "n3")
+            await node.watch()
+            await self.watch_nodes(0.7)
+            # The others hear of the second restore from the new watcher.
+            others = [self.fleet.nodes[name] for name in ("n0", "n1", "n2")]
+            for other in others:
+                other.client.header = "-1"
+            self.restore()
+            again = asyncio.ensure_future(self.write_again(1.0))
+            removal = asyncio.ensure_future(self.later(1.0, self.fleet.remove("a")))
+            await self.watch_nodes(0.3, behind=("n9",))
+            for other in others:
+                other.client.header = None
+            await self.watch_nodes(9.0, behind=("n9",))
+            await asyncio.gather(again, removal)
+            self.check_agreement(3)
+
+        run_in_virtual_time(run())
+
     async def prepare_with_cut_node(self, name):
         check, self.check = self.check, lambda node, is_behind=False: None
         prepared = asyncio.ensure_future(self.prepare())
