Soak: lost targets are judged by probes and zones; the operator waits for a silent store

Change: each target must be reached by a request or a probe after the last fault, and each service must run something in each zone. Evacuations are written and removed only while the store has no fault.

--- a/standins/soak/cluster.py
+++ b/standins/soak/cluster.py
@@ -90,6 +90,10 @@
         """Names of all targets, such as `ledger-03`."""
         return list(self.target_ports)
 
+    def zone_of(self, target: str) -> str:
+        """Returns the availability zone of a target."""
+        return ZONES[int(target.rpartition("-")[2]) % len(ZONES)]
+
     async def start_store(self) -> None:
         """Starts the store and publishes the first configuration.
 
@@ -147,7 +151,7 @@
     def _target_arguments(self, name: str) -> list[str]:
         service, _, number = name.rpartition("-")
         port, advertised = self.target_ports[name]
-        zone = ZONES[int(number) % len(ZONES)]
+        zone = self.zone_of(name)
         return [
             *("standins.target", f"--store={HOST}:{self.store.port}"),
             *(f"--service={service}", f"--first={int(number)}", f"--zones={zone}"),
@@ -231,15 +235,22 @@
         )
         return response.status, json.loads(response.body) if response.body else None
 
+    async def _wait_for_store(self) -> None:
+        """Waits until the store has no fault; a silent one would execute a write much later."""
+        while self.store_mode != "up":
+            await asyncio.sleep(0.05)
+
     async def close_zone(self, zone: str) -> None:
         """Writes the evacuation of a zone to the store."""
         self.closed_zones.add(zone)
+        await self._wait_for_store()
         with contextlib.suppress(ExchangeError):
             await self.call_store("POST", "evacuations", {"metadata": {"name": zone}, "spec": {}})
 
     async def reopen_zone(self, zone: str) -> None:
         """Removes the evacuation of a zone from the store."""
         self.closed_zones.discard(zone)
+        await self._wait_for_store()
         with contextlib.suppress(ExchangeError):
             await self.call_store("DELETE", f"evacuations/{zone}")
 
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -120,7 +120,9 @@
         configurations: versions with tenants in the order of their writes; none without tenants.
         allotments: limits by the names of tenants.
         removals: targets that were removed for a time.
-        targets: ids of the targets that run at the end.
+        reached_at: last time at which a request or probe reached a target, by the targets that run
+            at the end, on the monotonic clock in seconds.
+        zone_of: availability zone by target.
         recovered_at: time from which no fault was in force, on the monotonic clock in seconds.
     """
 
@@ -133,7 +135,8 @@
     configurations: Sequence[Configuration] = ()
     allotments: Mapping[str, Allotment] = dataclasses.field(default_factory=dict)
     removals: Sequence[Removal] = ()
-    targets: Sequence[str] = ()
+    reached_at: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    zone_of: Mapping[str, str] = dataclasses.field(default_factory=dict)
     recovered_at: float = math.inf
 
     def is_disturbed(self, part: Part, component: str, since: float, until: float) -> bool:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -83,7 +83,8 @@
                 configurations=operator.configurations,
                 allotments=ALLOTMENTS,
                 removals=changes.removals,
-                targets=cluster.targets,
+                reached_at=recovery.reached_at,
+                zone_of={name: cluster.zone_of(name) for name in cluster.targets},
                 recovered_at=recovery.recovered_at,
             )
             return faults, cluster.failures + judge(records), load.attempts
