--- a/standins/soak/cluster.py
+++ b/standins/soak/cluster.py
@@ -13,7 +13,7 @@
 from orioleloftd.connections import ExchangeError, HttpClient
 from standins.processes import HOST, Processes, free_ports, publish, write_node_settings
 from standins.proxy import LinkProxy
-from standins.soak.records import DisturbanceLog
+from standins.soak.records import DisturbanceLog, Part
 from standins.target import Arrival, Run, Statement
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -82,6 +82,7 @@
         self._contracts = contracts
         self._sends_era = sends_era
         self._restorable_since = 0.0
+        self._tasks: set[asyncio.Task] = set()
         self._started_once: set[str] = set()
         self.failures: list[str] = []
 
@@ -128,9 +129,20 @@
         """Starts a node or target for the first time or restarts it."""
         is_node = name in self.node_hosts
         arguments = self._node_arguments(name) if is_node else self._target_arguments(name)
+        is_restart = name in self._started_once
         self._started_once.add(name)
         self.draining.discard(name)
         self.processes.start(name, "-m", *arguments)
+        if is_node and is_restart:
+            task = asyncio.get_running_loop().create_task(self._record_start(name))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _record_start(self, name: str) -> None:
+        """Records a node as disturbed until it is ready, which takes seconds on a busy machine."""
+        with self.disturbances.recording(Part.PROCESS, name):
+            while not await self.is_ready(self.node_hosts[name]):
+                await asyncio.sleep(0.05)
 
     def _node_arguments(self, name: str) -> list[str]:
         seeds = [f"{host}:{self.ports['control']}" for host in list(self.node_hosts.values())[:3]]
@@ -256,6 +268,8 @@
 
     async def close(self) -> None:
         """Closes the proxies of all links."""
+        for task in tuple(self._tasks):
+            task.cancel()
         for link in (*self.store_links.values(), *self.target_links.values()):
             await link.close()
 
--- a/standins/soak/records.py
+++ b/standins/soak/records.py
@@ -10,8 +10,8 @@
 from standins.callers import CallerAttempt
 from standins.target import Arrival, Run, Statement
 
-# From the start of a process until it can be in touch, in seconds: 3 s without interruption, and
-# the start of the interpreter.
+# From the end of a disturbance of a process until it can be in touch, in seconds: 3 s without
+# interruption, and what the checks of its readiness may be late.
 STABLE_S = 4.0
 # Time that callers, proxies and targets on a busy machine may add to a bound, in seconds.
 LOOPBACK_MARGIN_S = 1.0
