Soak: a target that does not state its arrivals is a failure with logs

The check raised a TypeError, and the logs were gone with the run. The cause of the answer is not known; another process on the target's port is suspected, as free ports are chosen before they are used.

--- a/standins/soak/recovery.py
+++ b/standins/soak/recovery.py
@@ -106,6 +106,11 @@
                 timeout=HANG_TIMEOUT_S,
             )
             arrived_at = json.loads(response.body)
+            if response.status != 200 or not isinstance(arrived_at, list):
+                self._cluster.failures.append(
+                    f"{name}: status {response.status} instead of its arrivals"
+                )
+                continue
             self.reached_at[name] = max(arrived_at, default=0.0)
             if name not in limited:
                 continue
