Count refusals of targets only in a row, and not while most targets refuse

Each refusal counted as a failure and was reported to all nodes, so nearly all targets were outliers and their slots stayed unused.

Change: three refusals without an answer between count, and none while more than half of the service's targets refuse.

--- a/packages/node/orioleloftd/attemptrecorder.py
+++ b/packages/node/orioleloftd/attemptrecorder.py
@@ -228,20 +228,27 @@
         self._report_target(target.id, weight, 0.0)
 
     def on_refusal(
-        self, target: RegisteredTarget, load: LoadFigures | None, route: str = ""
+        self,
+        target: RegisteredTarget,
+        load: LoadFigures | None,
+        target_count: int,
+        route: str = "",
     ) -> None:
-        """Records a refusal with status 503, which is a failure if the target has a free slot.
+        """Records a refusal with status 503, which may be a failure if the target has a free slot.
 
         Args:
             target: the target.
             load: load figures in the response, or None.
+            target_count: number of targets of the service.
             route: name of the route.
         """
         if load is not None:
             has_free_slot = load.running < load.slots and not load.waiting
         else:
             has_free_slot = not self._access.observations(target).is_full
-        weight = self._refusals.on_refusal(self._clock(), target.service, target.id, has_free_slot)
+        weight = self._refusals.on_refusal(
+            self._clock(), target.service, target.id, has_free_slot, target_count
+        )
         if weight > 0:
             log_event(
                 _log,
--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -697,7 +697,8 @@
             if response.status != 503:
                 self._recorder.on_failure(target, route=context.route.name)
             elif self._admission_policy() is AdmissionPolicy.DEADLINE:
-                self._recorder.on_refusal(target, metadata.load, context.route.name)
+                count = self._registry.count(target.service)
+                self._recorder.on_refusal(target, metadata.load, count, context.route.name)
             return _EndedAttempt(
                 AttemptResult(AttemptEnd.REFUSED, response.status), target, response
             )
