--- a/packages/node/orioleloftd/forwarding.py
+++ b/packages/node/orioleloftd/forwarding.py
@@ -12,7 +12,7 @@
 from orioleloft_core.budget import TokenBucket
 from orioleloft_core.callerretries import CallerRetryDetector
 from orioleloft_core.contention import ContentionCurves
-from orioleloft_core.crashes import CrashRecord, CrashTracker, process_id
+from orioleloft_core.crashes import CrashRecord, CrashTracker
 from orioleloft_core.errors import ERROR_RESPONSES, ErrorCode, ExecutionOutcome
 from orioleloft_core.memory import MemoryAccount
 from orioleloft_core.observations import OVERSIZED_RESPONSE_WEIGHT, LoadFigures
@@ -37,6 +37,7 @@
 from orioleloftd.attemptrecorder import AttemptEvidence, AttemptRecorder
 from orioleloftd.availabilityrecorder import AvailabilityRecorder
 from orioleloftd.connections import ExchangeError, HttpResponse
+from orioleloftd.crashchecks import CrashChecks
 from orioleloftd.forwardingparts import ForwardingParts
 from orioleloftd.logs import log_event
 from orioleloftd.queuewaiting import QueueWaiting
@@ -139,7 +140,6 @@
         self._registry = registry
         self._budget = budget
         self._crashes = crashes
-        self._report_crashes = report_crashes
         self._count = count
         self._clock = clock
         self._rng = rng
@@ -211,7 +211,9 @@
             evidence,
         )
         self._caller_retries = CallerRetryDetector()
-        self._crash_checks: set[asyncio.Task] = set()
+        self._crash_checks = CrashChecks(
+            crashes, report_crashes, self._access, self._availability, count, clock
+        )
         self._parts = ForwardingParts(
             registry=registry,
             availability=self._availability,
@@ -619,7 +621,7 @@
                 )
                 return _EndedAttempt(AttemptResult(AttemptEnd.BROKEN), target)
             self._recorder.on_failure(target, route=context.route.name)
-            check = self._start_crash_check(context, target)
+            check = self._crash_checks.start(context.request, target)
             if context.route.is_idempotent:
                 # A retry that runs ahead of the check could crash one target more than allowed.
                 await asyncio.wait({check}, timeout=CRASH_CHECK_WAIT_S)
@@ -710,57 +712,12 @@
         if response.status >= 500:
             self._recorder.on_failure(target, route=context.route.name)
         else:
-            self._clear_evidence(request)
+            self._crash_checks.on_answer(request)
             self._recorder.on_success(context, selected, now - started_at, metadata.load)
         return _EndedAttempt(
             AttemptResult(AttemptEnd.ANSWERED, response.status), target, response, metadata.load
         )
 
-    # Requests that crash targets.
-
-    def _start_crash_check(self, context: RequestContext, target: RegisteredTarget) -> asyncio.Task:
-        """Starts a background check whether a target has crashed that broke off its response."""
-        task = asyncio.get_running_loop().create_task(
-            self._run_crash_check(context.request, target)
-        )
-        self._crash_checks.add(task)
-        task.add_done_callback(self._crash_checks.discard)
-        return task
-
-    async def _run_crash_check(self, request: CallerRequest, target: RegisteredTarget) -> None:
-        if self._availability.withdrawal(self._clock(), target) is not None:
-            # The process has announced that it stops, or wants no connection now.
-            return
-        reason = await self._access.connection_failure(target)
-        if reason is None:
-            return
-        records = self._crashes.on_crash(
-            self._clock(), request.fingerprints, process_id(target.id, target.started_ms)
-        )
-        log_event(
-            _log,
-            "target crashed",
-            request=request.id,
-            target=target.id,
-            crashes={r.scope.name.lower(): len(r.crashed) - len(r.cleared) for r in records},
-            reason=reason,
-        )
-        self._count("target_crashes")
-        self._report_crashes(records)
-
-    def _clear_evidence(self, request: CallerRequest) -> None:
-        """Clears a request of the crashes that it was suspected of, as a target has answered it."""
-        records = self._crashes.on_answer(self._clock(), request.fingerprints)
-        if not records:
-            return
-        log_event(
-            _log,
-            "request cleared",
-            request=request.id,
-            crashes={r.scope.name.lower(): len(r.crashed) for r in records},
-        )
-        self._report_crashes(records)
-
     def _table_version(self) -> int:
         table = self._table()
         return table.version if table else 0
