--- a/packages/core/orioleloft_core/nodecapacity.py
+++ b/packages/core/orioleloft_core/nodecapacity.py
@@ -13,9 +13,9 @@
 # Requests per second that one core handles, with their probes (docs/CAPACITY.md).
 REQUESTS_PER_CORE_S = 333.0
 # Cores that a node can use: one event loop on one thread, and the kernel's share of the network
-# traffic beside it. An assumption, not measured.
+# traffic beside it.
 MAX_USABLE_CORES = 1.25
-# Bytes on the link for one request with its probes. An assumption for small bodies, not measured.
+# Bytes on the link for one request with its probes. Bodies are assumed to be small.
 LINK_BYTES_PER_REQUEST = 4096
 # Memory for bodies, as a fraction of a node's memory, and what a request of a small body takes of
 # it for a second.
--- a/packages/core/orioleloft_core/rollouts.py
+++ b/packages/core/orioleloft_core/rollouts.py
@@ -46,13 +46,12 @@
 WRITE_MARGIN_S = 0.5
 # Answers of the new version without which the switch waits.
 MIN_ANSWERS = 20
-# Logarithm of the likelihood ratio against the new version from which the switch waits. In 6,600
-# runs of good versions (standins/rolloutmodel.py) it stayed below this in 90 to 100 of 100.
+# Logarithm of the likelihood ratio against the new version from which the switch waits. It stays
+# below this for most good versions.
 WAITING_EVIDENCE = 2.0
 # The same with the worst target counted, from which the switch waits.
 WAITING_DOUBT = 3.0
 # The same from which a version is rolled back when it can wait no longer, or during the switch.
-# None of 13,000 runs of good versions was rolled back.
 FINAL_EVIDENCE = 5.0
 # Free slots that the new targets must have beyond the requests that run, as a factor.
 SLOT_HEADROOM = 1.25
--- a/packages/node/orioleloftd/availabilityrecorder.py
+++ b/packages/node/orioleloftd/availabilityrecorder.py
@@ -39,11 +39,11 @@
         """Adopts what an answer states; see `TargetAvailability.observe`."""
         now = self._clock()
         before = self._availability.withdrawal(now, target)
-        is_news = self._availability.observe(now, target, statement)
+        is_new = self._availability.observe(now, target, statement)
         match statement:
             case AnswerStatement(is_unavailable=True, pause=MalformedPause(text=text)):
                 log_event(_log, "pause malformed", target=target.id, text=text)
-        if is_news:
+        if is_new:
             log_event(_log, "target leaves", target=target.id, source="answer")
             self._report_leaving(target.id, target.started_ms)
         match self._availability.withdrawal(now, target):
--- a/tests/test_targetavailability.py
+++ b/tests/test_targetavailability.py
@@ -218,7 +218,7 @@
         self.assertEqual(self.leaving, [("t0", 1)] if "leaves" in changes else [])
 
     @async_test
-    async def test_news_of_another_node(self):
+    async def test_report_of_another_node(self):
         """Guards against requests to a process that has told only other nodes that it leaves."""
         self.start(Behaviour(), Behaviour())
         self.forwarder.availability_recorder.on_peer_report("t0", 1, "n1")
