Log how late a route table comes into force, and who reads the store

The logs could not tell the hypotheses of the incident apart on one node: whether a table spread slowly, or whether nobody read the store. Nodes share no clock, so a node bounds the delay by the time since a node that reads the store last held the version before (unconfirmed_ms), and states when it first heard of a newer version (known_ms). New lines 'store watch began' and 'store watch ended', gauges store_watch and configuration_unconfirmed_seconds. No decision depends on them.

--- a/packages/node/orioleloftd/entry.py
+++ b/packages/node/orioleloftd/entry.py
@@ -9,6 +9,7 @@
 
 from orioleloft_core import membership, nodecapacity, placement
 from orioleloft_core.budget import TokenBucket
+from orioleloft_core.configurationage import ConfigurationAge
 from orioleloft_core.crashes import CrashTracker
 from orioleloft_core.entrysettings import EntrySettings
 from orioleloft_core.fleet import Fleet
@@ -126,10 +127,12 @@
         self._tasks: set[asyncio.Task] = set()
         self._probe_rate_versions: tuple[object, ...] = ()
         self._cached_probe_rate = 0.0
+        self._configuration_age = ConfigurationAge(node_clock)
         self._state = SharedState(
             self._on_state_change,
             lambda rollouts: self._versions.on_rollouts(rollouts),
             lambda: self._versions.known_versions,
+            self._configuration_age,
         )
         self._startup_gate = StartupGate(
             lambda: self._state.is_complete, node_clock, not settings.is_fleet_bootstrap
@@ -442,6 +445,7 @@
     def _on_store_access(self, access: StoreAccess) -> None:
         """Announces whether this node can reach the store."""
         self._peer_protocol.update(store=access)
+        self._observe_configuration(self._fleet.own_state)
 
     # Other nodes.
 
@@ -452,6 +456,11 @@
         if self._is_watcher():
             self._spawn(self._store_sync.wake_waiting_tasks())
 
+    def _observe_configuration(self, state: NodeState) -> None:
+        self._configuration_age.observe(
+            state.state_versions.table, state.store is StoreAccess.READING
+        )
+
     def _on_datagram(self, datagram: Datagram) -> None:
         match datagram:
             case AllotmentQuestion():
@@ -459,6 +468,7 @@
             case AllotmentAnswer():
                 self._allotments.on_answer(datagram)
             case _:
+                self._observe_configuration(datagram.state)
                 self._peer_protocol.on_datagram(datagram)
         if isinstance(datagram, CapacityReport):
             self._capacity_exchange.on_report(datagram)
@@ -536,6 +546,10 @@
         self._metrics.set_gauge("rollouts_undecided", self._rollouts.undecided_count)
         self._metrics.set_gauge("unreadable_registrations", self._store.unreadable_registrations)
         self._metrics.set_gauge("store_era", self._state.era)
+        self._metrics.set_gauge("store_watch", float(self._store_sync.is_reading))
+        unconfirmed = self._configuration_age.unconfirmed
+        if unconfirmed is not None:
+            self._metrics.set_gauge("configuration_unconfirmed_seconds", unconfirmed)
         return 200, "text/plain; version=0.0.4", self._metrics.render()
 
     def entry_hosts(self, zone: str, service_host: str) -> list[str]:
--- a/packages/node/orioleloftd/sharedstate.py
+++ b/packages/node/orioleloftd/sharedstate.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 
 from orioleloft_core import restore, updates
+from orioleloft_core.configurationage import ConfigurationAge
 from orioleloft_core.messages import StateVersions
 from orioleloft_core.registry import (
     ClosedZones,
@@ -57,6 +58,7 @@
         on_change: called after each change with its origin.
         on_rollouts: called with each newer snapshot of the roll-outs.
         known_versions: returns the versions of services that need no order.
+        age: tracks how late route tables come into force; None tracks nothing.
     """
 
     def __init__(
@@ -64,7 +66,9 @@
         on_change: Callable[[ChangeOrigin], None],
         on_rollouts: Callable[[Rollouts], None] = lambda rollouts: None,
         known_versions: Callable[[], tuple[ServiceVersions, ...]] = tuple,
+        age: ConfigurationAge | None = None,
     ) -> None:
+        self._age = age
         self._on_change = on_change
         self._on_rollouts = on_rollouts
         self._known_versions = known_versions
@@ -268,9 +272,23 @@
             return False
         self._table = table
         self._table_history.add(table)
-        log_event(_log, "table in force", version=table.version, source=source)
+        log_event(
+            _log,
+            "table in force",
+            version=table.version,
+            source=source,
+            **self._delay_fields(table.version),
+        )
         return True
 
+    def _delay_fields(self, version: int) -> dict[str, int | None]:
+        """Returns the log fields that say how late a version of the table comes into force."""
+        if self._age is None:
+            return {}
+        delay = self._age.replace(version)
+        unconfirmed = None if delay.unconfirmed is None else round(delay.unconfirmed * 1000)
+        return {"unconfirmed_ms": unconfirmed, "known_ms": round(delay.known * 1000)}
+
     def _replace_targets(self, targets: TargetList, source: str) -> bool:
         old = self._registry.target_list
         if not self._registry.replace_targets(targets):
--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -354,6 +354,7 @@
             await self.wake_waiting_tasks()
         if not self._is_watcher() and self._is_reading:
             self._is_reading = False
+            log_event(_log, "store watch ended")
             self._on_access(StoreAccess.READY)
         async with self._access_changed:
             await self._access_changed.wait_for(lambda: self._may_call(resource))
@@ -374,6 +375,7 @@
         self._outage_since = None
         if not self._is_reading:
             self._is_reading = True
+            log_event(_log, "store watch began")
             self._probing_resource = None
             await self.wake_waiting_tasks()
         self._on_access(StoreAccess.READING)
