--- a/tests/support/statefleet.py
+++ b/tests/support/statefleet.py
@@ -130,9 +130,11 @@
         known = self._store.table
         await self._watch(revision, wait)
         table = self._store.table
-        return (table if self._store.revision > revision else None), max(
-            revision, self._store.revision
-        ) if table is not known or self._store.revision > revision else revision
+        return (table if self._store.revision > revision else None), (
+            max(revision, self._store.revision)
+            if table is not known or self._store.revision > revision
+            else revision
+        )
 
     async def _watch(self, revision, wait):
         async def wait_for_change():
@@ -186,6 +188,7 @@
         self.is_weak = is_weak
         self.is_down = False
         self.is_cut = False
+        self.is_cut_from_store = False
         self.in_force: dict[int, float] = {}
         self.fetches_served = 0
         self._link_free_at = 0.0
@@ -209,7 +212,9 @@
             rng=rng,
         )
         self.sync = StoreSync(
-            StoreClient(parent.store, lambda: self.is_cut or self.is_down),
+            StoreClient(
+                parent.store, lambda: self.is_cut or self.is_cut_from_store or self.is_down
+            ),
             self.state,
             lambda: not self.is_down and self.fleet.is_watcher(clock()),
             lambda access: self.peers.update(store=access),
@@ -345,8 +350,12 @@
         ]
 
     def in_touch(self) -> list[StateNode]:
-        """Returns the nodes that run and are connected."""
-        return [n for n in self.nodes.values() if not n.is_down and not n.is_cut]
+        """Returns the nodes that run and are connected to the others and to the store."""
+        return [
+            node
+            for node in self.nodes.values()
+            if not (node.is_down or node.is_cut or node.is_cut_from_store)
+        ]
 
     def is_connected(self, first: StateNode, second: StateNode) -> bool:
         """Whether packets pass between two nodes."""
--- /dev/null
+++ b/tests/test_configdelay.py
@@ -0,0 +1,88 @@
+"""Tests of the time until a change of the configuration is in force at every node in touch.
+
+Fleets of real nodes without sockets run in virtual time; see `tests.support.statefleet`. The store
+confirms a change just after a third of the nodes, the readers of the store among them, have lost
+their path to it or have died. The bound is the operators' `config_deadline`.
+"""
+
+import asyncio
+import logging
+import random
+import unittest
+
+from nose2.tools import params
+
+from standins.virtualtime import run_in_virtual_time
+from tests.support.statefleet import StateFleet, make_table
+
+# Routes in a change that exceeds a datagram, and in one that does not.
+LARGE = 1400
+SMALL = 21
+# Share of the nodes that lose the store or die.
+FAILED_SHARE = 0.35
+# Time from the failure to the confirmation of the change, in seconds.
+CONFIRMED_AFTER_S = 0.05
+# Time for which the nodes run before the failure, at most, in seconds: the longest watch.
+MAX_START_S = 4.0
+
+
+def lose_path_to_store(node):
+    node.is_cut_from_store = True
+
+
+def die(node):
+    node.is_down = True
+
+
+async def delay_of_change(fleet, seed, routes, fail):
+    """Returns the longest time until a change is in force at a node in touch, in seconds."""
+    rng = random.Random(seed)
+    await fleet.start()
+    await asyncio.sleep(rng.uniform(0.0, MAX_START_S))
+    readers = fleet.watchers()
+    others = [node for node in fleet.nodes.values() if node not in readers]
+    rng.shuffle(others)
+    for node in (readers + others)[: round(FAILED_SHARE * len(fleet.nodes))]:
+        fail(node)
+    await asyncio.sleep(CONFIRMED_AFTER_S)
+    confirmed_at = asyncio.get_running_loop().time()
+    fleet.store.publish(make_table(2, routes))
+    await asyncio.sleep(10.0)
+    return max(node.in_force.get(2, 1e9) for node in fleet.in_touch()) - confirmed_at
+
+
+class ConfigurationDelayTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def check(self, count, zones, deadline, seed, routes, fail):
+        async def play():
+            fleet = StateFleet(count, zones, seed)
+            return await delay_of_change(fleet, seed, routes, fail)
+
+        self.assertLessEqual(run_in_virtual_time(play()), deadline)
+
+    @params(
+        (15, 3, 2.0, 1, LARGE),
+        (98, 3, 2.5, 1, LARGE),
+        (98, 3, 2.5, 2, LARGE),
+        (98, 3, 2.5, 2, SMALL),
+        (224, 4, 2.5, 1, LARGE),
+        (224, 4, 2.5, 1, SMALL),
+        (312, 5, 3.0, 2, LARGE),
+    )
+    def test_readers_lose_the_store(self, count, zones, deadline, seed, routes):
+        """Guards against a confirmed change that nobody reads while all readers are cut off."""
+        self.check(count, zones, deadline, seed, routes, lose_path_to_store)
+
+    @params(
+        (15, 3, 2.0, 1, LARGE),
+        (98, 3, 2.5, 2, LARGE),
+        (224, 4, 2.5, 1, LARGE),
+        (224, 4, 2.5, 2, LARGE),
+        (312, 5, 3.0, 1, LARGE),
+    )
+    def test_readers_die(self, count, zones, deadline, seed, routes):
+        """Guards against a confirmed change that is late because all readers of the store died."""
+        self.check(count, zones, deadline, seed, routes, die)
