Spread changes that exceed a datagram through the nodes that fetched them

Cause: a watcher announces such a change to 12 nodes of its zone and two of each other one. All nodes that heard of the same holder fetched from it at once (109 transfers at one of 224 nodes), holders were drawn among all nodes ahead in any part, so that some had the old table, and one that was down cost 0.8 s.

A node that has fetched a large delta now announces it to its zone and to one node of another one. Holders are those of the newest table; in each step of 50 ms only as many nodes begin as the known holders can serve, and a second holder is asked after 0.25 s.

The test of the start-up takes the new type that a fetch returns.

--- a/packages/core/orioleloft_core/dissemination.py
+++ b/packages/core/orioleloft_core/dissemination.py
@@ -17,6 +17,9 @@
 # Nodes of the own zone that are notified of an update too large for a datagram. Each of them
 # fetches it and notifies as many again, so that no node serves the whole fleet over its own link.
 GOSSIP_FANOUT = 12
+# Nodes of other zones that a node notifies of an update that it has fetched. The whole zone does
+# so, which makes up for relays that are down.
+REMOTE_GOSSIP_FANOUT = 1
 
 
 def match_all_nodes(state: NodeState) -> bool:
@@ -92,6 +95,18 @@
         direct = dataclasses.replace(datagram, delivery=Delivery.DIRECT)
         return [OutgoingDatagram(state.host, direct) for state in recipients]
 
+    def gossip_fetched(
+        self, datagram: Broadcast, nodes: Iterable[NodeState]
+    ) -> list[OutgoingDatagram]:
+        """Addresses a datagram to random nodes of this zone and hardly any of the others."""
+        chosen = list(nodes)
+        local = [state for state in chosen if state.zone == self._zone]
+        remote = [state for state in chosen if state.zone != self._zone]
+        recipients = self._rng.sample(local, min(GOSSIP_FANOUT, len(local)))
+        recipients += self._rng.sample(remote, min(REMOTE_GOSSIP_FANOUT, len(remote)))
+        direct = dataclasses.replace(datagram, delivery=Delivery.DIRECT)
+        return [OutgoingDatagram(state.host, direct) for state in recipients]
+
     def _sample_relays(self, remote: Iterable[NodeState]) -> list[NodeState]:
         zones: dict[str, list[NodeState]] = {}
         for state in remote:
--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -55,7 +55,8 @@
         self._entry_cache = EntryHostCache()
         self._cached_zones: tuple[int, NodeMap] = (-1, NodeMap({}, {}))
         self._capacities: dict[str, float] = {}
-        self._ahead: set[str] = set()
+        # Names of the nodes that hold newer versions; a dict, as the order decides choices.
+        self._ahead: dict[str, None] = {}
         self._election_version = -1
         self._refuted_at = -REFUTATION_PERIOD_S
         # Suspicions of the last periods, the newest first, which are sent again to relays.
@@ -134,6 +135,11 @@
         member = self._members.get(name)
         return member is not None and member.is_alive
 
+    @property
+    def zone_size(self) -> int:
+        """Number of nodes alive in the zone of this node, with this node."""
+        return 1 + self._members.alive_in_zone(self._own.zone)
+
     def alive(self) -> list[NodeState]:
         """Returns the states of the other nodes that are alive."""
         return [member.state for member in self._members.alive()]
@@ -167,13 +173,13 @@
             and m.is_alive
             and messages.has_newer_version(m.state.state_versions, versions)
         ]
-        self._ahead = {state.name for state in ahead}
+        self._ahead = dict.fromkeys(state.name for state in ahead)
         return ahead
 
     def _track_newer_versions(self, state: NodeState) -> None:
         """Remembers a node for `nodes_ahead` if it holds a newer version."""
         if messages.has_newer_version(state.state_versions, self._own.state_versions):
-            self._ahead.add(state.name)
+            self._ahead[state.name] = None
 
     def entry_hosts(self, zone: str, service: str, limit: int) -> list[str]:
         """Returns the hosts that a caller in a zone should connect to for a service.
@@ -222,6 +228,10 @@
         """Sends the state of this node to a few nodes, which then fetch the newer versions."""
         return self._disseminator.gossip(Announcement(self._own), self.alive())
 
+    def gossip_fetched_state(self) -> list[OutgoingDatagram]:
+        """Does the same after a fetch, which the nodes of the other zones need not know of."""
+        return self._disseminator.gossip_fetched(Announcement(self._own), self.alive())
+
     # Failure detection.
 
     def tick(self, now: float) -> list[OutgoingDatagram]:
--- a/packages/core/orioleloft_core/membership.py
+++ b/packages/core/orioleloft_core/membership.py
@@ -142,6 +142,10 @@
         """Returns the members that are alive."""
         return [member for zone in self._alive.values() for member in zone.values()]
 
+    def alive_in_zone(self, zone: str) -> int:
+        """Returns how many members of a zone are alive."""
+        return len(self._alive.get(zone, ()))
+
     def get(self, name: str) -> Member | None:
         """Returns a member by name, or None if there is none."""
         return self._members.get(name)
@@ -303,7 +307,7 @@
 
     def _alive_counts(self) -> tuple[int, int]:
         """Returns how many members are alive in the zone of this node, and in all zones."""
-        return len(self._alive.get(self._own().zone, ())), self._alive_count
+        return self.alive_in_zone(self._own().zone), self._alive_count
 
     def _ping(self, now: float, member: Member) -> OutgoingDatagram:
         self._ping_number += 1
--- a/packages/node/orioleloftd/peering.py
+++ b/packages/node/orioleloftd/peering.py
@@ -156,7 +156,7 @@
 
     async def fetch(
         self, host: str, known: StateVersions, includes_members: bool
-    ) -> "StateTransfer":
+    ) -> "FetchedState":
         """Requests from another node everything newer than this node's versions.
 
         Args:
@@ -171,7 +171,7 @@
             f"{STATE_PATH}?known={_encode_versions(known)}{'&nodes=1' if includes_members else ''}"
         )
         answer = await self._client.call(host, self._port, "GET", path, timeout=FETCH_TIMEOUT_S)
-        return _decode_transfer(StateTransfer, host, answer)
+        return FetchedState(_decode_transfer(StateTransfer, host, answer), len(answer.body))
 
     def answer_crashes(self, records: tuple[CrashRecord, ...]) -> ControlResponse:
         """Answers a request for the evidence on requests that crash targets."""
@@ -209,6 +209,24 @@
     nodes: tuple[NodeState, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class FetchedState:
+    """A transfer that was fetched.
+
+    Attributes:
+        transfer: the transfer.
+        size: its size as it was sent, in bytes.
+    """
+
+    transfer: StateTransfer
+    size: int
+
+    @property
+    def exceeds_datagram(self) -> bool:
+        """Whether no datagram could have carried it."""
+        return self.size > MAX_DATAGRAM_BYTES
+
+
 @dataclasses.dataclass(frozen=True)
 class CrashTransfer:
     """Answer to a request for the evidence on requests that crash targets."""
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
-from orioleloft_core import messages
+from orioleloft_core import holders, messages
 from orioleloft_core.contention import RouteStatistics
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.fleet import Fleet
@@ -39,9 +39,12 @@
 # Delay before the shared state is fetched from another node, in seconds; a datagram with the same
 # change may be on its way.
 FETCH_DELAY_S = 0.02
-# Additional delay before it is fetched from a node in another zone, in seconds: by then a node in
-# this zone has the change as well.
-REMOTE_FETCH_DELAY_S = 0.25
+# Interval at which a node that waits for holders with room looks for them again, in seconds.
+FETCH_STEP_S = 0.05
+# Time after which a second holder is asked beside one that has not answered, in seconds, and the
+# number of holders that are asked at most.
+FETCH_HEDGE_DELAY_S = 0.25
+MAX_HOLDERS_ASKED = 3
 # Interval between requests to a seed that has no shared state yet, in seconds. If the store
 # answers, a restarted node has read the state from there in 0.1 s.
 SEED_RETRY_S = 0.5
@@ -304,28 +307,63 @@
         self._spawn(self._fetch_after_delay(is_directly_announced))
 
     async def _fetch_after_delay(self, is_directly_announced: bool) -> None:
+        started_at = self._clock()
         try:
             await asyncio.sleep(FETCH_DELAY_S)
-            if not is_directly_announced and not self._zone_nodes_ahead():
-                await asyncio.sleep(REMOTE_FETCH_DELAY_S)
-            holders = self._zone_nodes_ahead() or self._fleet.nodes_ahead()
-            if holders:
-                await self._fetch(self._rng.choice(holders).host)
+            while ahead := self._fleet.nodes_ahead():
+                chosen = holders.choose_holders(
+                    self._fleet.own_state,
+                    ahead,
+                    zone_size=self._fleet.zone_size,
+                    waited=self._clock() - started_at,
+                    is_directly_announced=is_directly_announced,
+                    rng=self._rng,
+                )
+                if chosen:
+                    await self._fetch_from_any([state.host for state in chosen[:MAX_HOLDERS_ASKED]])
+                    return
+                await asyncio.sleep(FETCH_STEP_S)
         finally:
             self._is_fetching = False
 
-    def _zone_nodes_ahead(self) -> list[NodeState]:
-        zone = self._fleet.own_state.zone
-        return [state for state in self._fleet.nodes_ahead() if state.zone == zone]
-
-    async def _fetch(self, host: str, includes_members: bool = False) -> None:
+    async def _fetch_from_any(self, hosts: list[str]) -> None:
+        """Fetches from the first holder, and from the next ones while none has answered."""
+        pending: set[asyncio.Task[bool]] = set()
         try:
-            transfer = await self._state_exchange.fetch(
+            for host in hosts:
+                pending.add(asyncio.ensure_future(self._fetch(host)))
+                if await self._is_any_fetched(pending, FETCH_HEDGE_DELAY_S):
+                    return
+            while pending and not await self._is_any_fetched(pending, None):
+                pass
+        finally:
+            for task in pending:
+                task.cancel()
+
+    async def _is_any_fetched(
+        self, pending: set[asyncio.Task[bool]], timeout: float | None
+    ) -> bool:
+        """Waits until one of the fetches ends, which is removed; returns whether it succeeded."""
+        done, _ = await asyncio.wait(pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        pending -= done
+        return any([task.result() for task in done])
+
+    async def _fetch(self, host: str, includes_members: bool = False) -> bool:
+        """Fetches the shared state from a node and applies it; returns whether it answered."""
+        try:
+            fetched = await self._state_exchange.fetch(
                 host, self._state.state_versions, includes_members
             )
         except ExchangeError as error:
             log_event(_log, "state not fetched", source=host, reason=str(error))
-            return
-        for node in transfer.nodes:
+            return False
+        for node in fetched.transfer.nodes:
             self._fleet.merge_state(node)
-        self._state.apply(transfer.update, host)
+        update, versions_before = fetched.transfer.update, self._state.state_versions
+        self._state.apply(update, host)
+        is_newer = self._state.state_versions != versions_before
+        # A snapshot is announced by `on_state_change`, and a small delta reaches all nodes as a
+        # datagram.
+        if is_newer and update.has_only_deltas and fetched.exceeds_datagram:
+            self._transport.send(self._fleet.gossip_fetched_state())
+        return True
--- a/tests/support/statefleet.py
+++ b/tests/support/statefleet.py
@@ -30,7 +30,12 @@
 from orioleloft_core.updates import StateUpdate
 from orioleloftd import peering
 from orioleloftd.connections import ExchangeError
-from orioleloftd.peering import FETCH_TIMEOUT_S, MAX_DATAGRAM_BYTES, StateTransfer
+from orioleloftd.peering import (
+    FETCH_TIMEOUT_S,
+    MAX_DATAGRAM_BYTES,
+    FetchedState,
+    StateTransfer,
+)
 from orioleloftd.peerprotocol import PeerProtocol
 from orioleloftd.sharedstate import SharedState
 from orioleloftd.storesync import CALL_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S, StoreError, StoreSync
@@ -47,7 +52,8 @@
 # Link of a weak node and of all others, in bytes per second.
 WEAK_LINK = 5e6 / 8
 STRONG_LINK = 100e6 / 8
-SEGMENT_BYTES = 1448
+# Size of datagrams and transfers without a table, in bytes.
+SMALL_BYTES = 100
 
 
 def _token(number: int) -> str:
@@ -265,15 +271,16 @@
 
     # Transfers; see `peering.StateExchange`.
 
-    async def fetch(self, host: str, known: StateVersions, includes_members: bool) -> StateTransfer:
+    async def fetch(self, host: str, known: StateVersions, includes_members: bool) -> FetchedState:
         """Fetches what another node holds beyond the known versions."""
         holder = self._parent.nodes[host]
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
                 await self._parent.round_trip(self, holder)
                 update = holder.state.update_since(known)
-                await holder.occupy_link(self._parent.transfer_size(known, update))
-                return StateTransfer(update, ())
+                size = self._parent.transfer_size(update)
+                await holder.occupy_link(size)
+                return FetchedState(StateTransfer(update, ()), size)
         except TimeoutError:
             raise ExchangeError(f"no response from {host}", True) from None
 
@@ -385,11 +392,11 @@
         """Returns the size of a datagram, in bytes; all but updates of the table count as small."""
         if isinstance(datagram, SharedStateUpdate) and datagram.update.table is not None:
             return self._table_size(datagram.update)
-        return 100
+        return SMALL_BYTES
 
-    def transfer_size(self, known: StateVersions, update: StateUpdate) -> int:
+    def transfer_size(self, update: StateUpdate) -> int:
         """Returns the size of a transfer, in bytes."""
-        return SEGMENT_BYTES if update.table is None else self._table_size(update)
+        return SMALL_BYTES if update.table is None else self._table_size(update)
 
     def _table_size(self, update: StateUpdate) -> int:
         key = getattr(update.table, "base_version", 0), update.table.version
--- a/tests/test_configdelay.py
+++ b/tests/test_configdelay.py
@@ -51,6 +51,32 @@
     return max(node.in_force.get(2, 1e9) for node in fleet.in_touch()) - confirmed_at
 
 
+# Time for which a change may spread once one node has it, in seconds; the rest of the shortest
+# deadline is for noticing that the readers of the store are gone.
+SPREAD_S = 1.0
+
+
+async def spread_time(fleet, fail):
+    """Returns the time between the first and the last node in touch that has a change."""
+    await fleet.start()
+    readers = fleet.watchers()
+    others = [node for node in fleet.nodes.values() if node not in readers]
+    for node in fleet.rng.sample(others, round(FAILED_SHARE * len(fleet.nodes))):
+        fail(node)
+    fleet.store.publish(make_table(2, LARGE))
+    await asyncio.sleep(6.0)
+    times = [node.in_force.get(2, 1e9) for node in fleet.in_touch()]
+    return max(times) - min(times)
+
+
+def lose_all_links(node):
+    node.is_cut = True
+
+
+def stay(node):
+    pass
+
+
 class ConfigurationDelayTest(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.WARNING)
@@ -86,3 +112,12 @@
     def test_readers_die(self, count, zones, deadline, seed, routes):
         """Guards against a confirmed change that is late because all readers of the store died."""
         self.check(count, zones, deadline, seed, routes, die)
+
+    @params((98, 3, stay), (224, 4, stay), (98, 3, die), (224, 4, lose_all_links))
+    def test_large_change_spreads(self, count, zones, fail):
+        """Guards against a large change that most nodes hear of by pings only."""
+
+        async def play():
+            return await spread_time(StateFleet(count, zones, seed=3), fail)
+
+        self.assertLessEqual(run_in_virtual_time(play()), SPREAD_S)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -29,7 +29,7 @@
 )
 from orioleloft_core.updates import StateUpdate
 from orioleloftd.entry import EntryNode, node_clock
-from orioleloftd.peering import StateTransfer
+from orioleloftd.peering import FetchedState, StateTransfer
 from orioleloftd.requestcontext import CallerRequest
 from orioleloftd.requesthandler import STOPPING_RETRY_AFTER_MAX_S
 from orioleloftd.storesync import StoreError
@@ -197,9 +197,8 @@
             return records
 
         async def fetch(host, known, includes_members):
-            return StateTransfer(
-                StateUpdate(TABLE, TargetList(StateVersion(5, 1), (TARGET,)), None), ()
-            )
+            update = StateUpdate(TABLE, TargetList(StateVersion(5, 1), (TARGET,)), None)
+            return FetchedState(StateTransfer(update, ()), size=1)
 
         node._state_exchange.fetch_crashes = fetch_crashes
         node._state_exchange.fetch = fetch
