Probe the store while reading it, so that a cut path is noticed in 0.9 s

The nodes cut off still reach the others, so no ping is missed; a reader noticed at the end of its next watch, up to 1.8 s later, and nodes take over only after that.

A node that reads the store now makes a stale read of the closed zones every 0.4 s with a timeout of 0.5 s. It costs a tenth of a call and does not count toward the rate. A failed probe ends the watches, as a failed watch did for itself.

Takeover when most nodes are cut off at once is not changed here.

--- a/packages/node/orioleloftd/storesync.py
+++ b/packages/node/orioleloftd/storesync.py
@@ -33,6 +33,11 @@
 # Pause between a change and the next watch, in seconds: changes arrive in batches, and each call is
 # billed.
 BATCH_DELAY_S = 0.3
+# Interval between probes of the store by a node that reads it, in seconds. A stale read costs a
+# tenth of a call, and a watch notices a path that was cut silently only at its end.
+PROBE_PERIOD_S = 0.4
+# Timeout of a probe, in seconds. A slow store takes up to 0.25 s, sixty times as long as usual.
+PROBE_TIMEOUT_S = 0.5
 # Timeout of a read, in seconds: a list of a megabyte takes 0.8 s over a link of 10 Mbit/s.
 CALL_TIMEOUT_S = 0.8
 # Time allowed for the answer of a watch after its timeout, in seconds. A slow store takes up to
@@ -139,6 +144,9 @@
             The revision to continue from, or 0 if the zones changed and must be read again.
         """
 
+    async def probe(self) -> None:
+        """Makes a cheap call that shows whether the store answers this node."""
+
     async def read_registered_nodes(self, allow_stale: bool = False) -> NodeList:
         """Returns the registered entry nodes; for `allow_stale` see `read_table`."""
 
@@ -252,6 +260,7 @@
             self._tasks.append(
                 loop.create_task(self._run(resource(self._store, self._listener, self)))
             )
+        self._tasks.append(loop.create_task(self._probe_periodically()))
 
     def stop(self) -> None:
         """Cancels all tasks."""
@@ -306,8 +315,12 @@
             except asyncio.CancelledError:
                 if asyncio.current_task().cancelling():
                     raise
-                # `note_era` has ended the call; the resource is read in the new era.
-                resource.reset()
+                # Either `note_era` has ended the call, or a probe has failed. The resource is read
+                # again.
+                if self._outage_since is None:
+                    resource.reset()
+                else:
+                    resource.interrupt()
                 continue
             except RevisionCompactedError as error:
                 log_event(_log, "history gone", part=resource.name, reason=str(error))
@@ -327,6 +340,29 @@
             await self._on_success()
             await asyncio.sleep(resource.pop_call_delay())
 
+    async def _probe_periodically(self) -> None:
+        """Probes the store while this node reads it; a failed probe ends all watches."""
+        while True:
+            async with self._access_changed:
+                await self._access_changed.wait_for(lambda: self._is_reading)
+            await asyncio.sleep(PROBE_PERIOD_S)
+            if not self._is_reading:
+                continue
+            started = self._clock()
+            try:
+                await self._store.probe()
+            except StoreError as error:
+                self._on_probe_failure(started, error)
+            except Exception:
+                _log.exception("probe of the store failed unexpectedly")
+
+    def _on_probe_failure(self, started: float, error: StoreError) -> None:
+        if not self._is_reading:
+            return
+        self._on_failure(started, None, error)
+        for poll in self._polls.values():
+            poll.cancel()
+
     async def _poll(self, resource: "Resource") -> None:
         self._polls[resource] = asyncio.ensure_future(resource.poll())
         try:
@@ -359,9 +395,11 @@
         async with self._access_changed:
             await self._access_changed.wait_for(lambda: self._may_call(resource))
 
-    def _on_failure(self, started: float, resource: "Resource", error: StoreError) -> None:
+    def _on_failure(self, started: float, resource: "Resource | None", error: StoreError) -> None:
+        """Handles a failed call; without a resource it was a probe, and any resource may retry."""
         if self._outage_since is None:
-            log_event(_log, "store lost", logging.WARNING, part=resource.name, reason=str(error))
+            part = resource.name if resource else "probe"
+            log_event(_log, "store lost", logging.WARNING, part=part, reason=str(error))
             self._outage_since = started
         self._outage_since = min(self._outage_since, started)
         if self._is_reading or self._probing_resource is None:
--- a/tests/support/statefleet.py
+++ b/tests/support/statefleet.py
@@ -38,7 +38,13 @@
 )
 from orioleloftd.peerprotocol import PeerProtocol
 from orioleloftd.sharedstate import SharedState
-from orioleloftd.storesync import CALL_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S, StoreError, StoreSync
+from orioleloftd.storesync import (
+    CALL_TIMEOUT_S,
+    PROBE_TIMEOUT_S,
+    WATCH_TIMEOUT_MARGIN_S,
+    StoreError,
+    StoreSync,
+)
 from standins.virtualtime import run_in_virtual_time
 
 # Time for which all nodes run before anything changes, in seconds.
@@ -128,6 +134,9 @@
         except TimeoutError:
             raise StoreError("no response") from None
 
+    async def probe(self):
+        await self._call(PROBE_TIMEOUT_S)
+
     async def read_table(self, allow_stale=False):
         await self._call(CALL_TIMEOUT_S)
         return self._store.table, self._store.revision
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -67,6 +67,9 @@
         content = ClosedZones(StateVersion(5, 1), ())
         return await self._reply(f"{'old ' * allow_stale}read zones", content)
 
+    async def probe(self):
+        await self._reply("probe", None)
+
     async def read_blocked_requests(self):
         return await self._reply("old read blocked requests", [])
 
--- a/tests/test_platformstore.py
+++ b/tests/test_platformstore.py
@@ -261,6 +261,16 @@
         stale = await store.read_registered_nodes(allow_stale=True)
         self.assertEqual(stale, await store.read_registered_nodes())
 
+    @async_test
+    async def test_probe(self):
+        """Guards against a probe that is billed as a call, or succeeds without the store."""
+        store = PlatformStore(Endpoint(HOST, 1), client := MemoryClient(StoreEmulator()))
+        await store.probe()
+        self.assertEqual(client.calls, ["GET evacuations?serializable=1"])
+        client.is_cut = True
+        with self.assertRaises(StoreError):
+            await store.probe()
+
     @async_test
     async def test_malformed_list(self):
         """Guards against a malformed list that crashes the node instead of raising `StoreError`."""
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -7,9 +7,10 @@
 from nose2.tools import params
 
 from orioleloft_core.messages import StateVersions, StoreAccess
-from orioleloft_core.registry import RegisteredTarget, StateVersion, TargetList
+from orioleloft_core.registry import ClosedZones, RegisteredTarget, StateVersion, TargetList
 from orioleloftd import storesync
 from orioleloftd.storesync import RevisionCompactedError, StoreError, StoreSync, TargetChanges
+from standins.virtualtime import run_in_virtual_time
 from tests.support.loop import async_test
 
 
@@ -51,6 +52,9 @@
     async def read_closed_zones(self, allow_stale=False):
         await asyncio.Event().wait()
 
+    async def probe(self):
+        """Succeeds."""
+
 
 def make_list(revision, *names):
     return TargetList(StateVersion(revision, 1), tuple(map(make_target, names)))
@@ -61,6 +65,76 @@
 FAILURE = StoreError("no answer")
 
 
+class SilentStore:
+    """Answers reads, and probes until its path is cut; watches wait for ever."""
+
+    def __init__(self):
+        self.is_cut = False
+
+    async def probe(self):
+        if self.is_cut:
+            await asyncio.sleep(storesync.PROBE_TIMEOUT_S)
+            raise StoreError("no response")
+
+    async def read_table(self, allow_stale=False):
+        return None, 1
+
+    async def read_targets(self, allow_stale=False):
+        return make_list(1, "a")
+
+    async def read_closed_zones(self, allow_stale=False):
+        return ClosedZones(StateVersion(1, 1), ())
+
+    async def _watch(self, revision, wait):
+        await asyncio.Event().wait()
+
+    watch_table = watch_targets = watch_closed_zones = _watch
+
+
+class Listener:
+    """Takes all results."""
+
+    state_versions = StateVersions()
+
+    def __getattr__(self, name):
+        return lambda *arguments: None
+
+
+class ProbeTest(unittest.TestCase):
+    @params(0.0, 0.1, 0.35, 2.0)
+    def test_silent_store(self, cut_after):
+        """Guards against a reader of the store that notices only seconds later that it is cut off.
+
+        Three watches of 4 s end at different times, so that it took up to 1.8 s. A configuration
+        has to be in force 2 s after its confirmation, at nodes that must take over and fetch it.
+        """
+        accesses = []
+
+        async def play():
+            loop = asyncio.get_running_loop()
+            store = SilentStore()
+            sync = StoreSync(
+                store,
+                Listener(),
+                lambda: True,
+                lambda access: accesses.append((loop.time(), access)),
+                loop.time,
+                random.Random(1),
+            )
+            sync.start()
+            await asyncio.sleep(1.0 + cut_after)
+            store.is_cut = True
+            cut_at = loop.time()
+            await asyncio.sleep(2.0)
+            sync.stop()
+            return cut_at
+
+        cut_at = run_in_virtual_time(play())
+        self.assertEqual({access for at, access in accesses if at < cut_at}, {StoreAccess.READING})
+        noticed_at = next(at for at, access in accesses if access is StoreAccess.LOST)
+        self.assertLessEqual(noticed_at - cut_at, 1.0)
+
+
 class WatchTimeoutTest(unittest.TestCase):
     @params(0.0, 0.3, 1.9, 3.999, 1_234_567.8)
     def test_staggered_watch_ends(self, start):
