Let more nodes try at once to read the store when all readers have lost it

Cause: three nodes tried at a time, each time after a delay that doubled with the number that had lost the store, and a node whose path is cut silently needs 0.5 s to say so. Now eight nodes may have tried when the last reader is lost, twice as many after each 0.25 s, up to 32 and then three in 8 s, whether or not the earlier ones have answered. While one reader is lost two spare nodes read, not one.

test_watchers_and_takeover counted the nodes that try at the end of a delay that no longer exists. It now asks for the same number at once, for the maximum after 0.5 s, and that no further node tries later, in fleets of 15 and 60.

--- a/packages/core/orioleloft_core/holders.py
+++ b/packages/core/orioleloft_core/holders.py
@@ -8,14 +8,16 @@
 import random
 from collections.abc import Sequence
 
-from orioleloft_core.dissemination import GOSSIP_FANOUT, RELAYS_PER_ZONE
+from orioleloft_core.dissemination import RELAYS_PER_ZONE
 from orioleloft_core.messages import NodeState
 
+# Nodes of a zone that begin to fetch from each known holder in one step, on average.
+FETCHES_PER_STEP = 4
 # Time after which a fetch from a node in another zone is allowed, in seconds: by then a node in
 # this zone has the change as well, unless all relays to it are down.
 REMOTE_FETCH_DELAY_S = 0.25
 # Time after which a node fetches however many others may do so as well, in seconds.
-MAX_FETCH_WAIT_S = 0.6
+MAX_FETCH_WAIT_S = 1.0
 
 
 def choose_holders(
@@ -41,9 +43,9 @@
     newest = _newest_tables(own, ahead)
     local = [state for state in newest if state.zone == own.zone]
     if local:
-        holders, fanout = local, GOSSIP_FANOUT
+        holders, fanout = local, FETCHES_PER_STEP
     elif is_directly_announced:
-        holders, fanout = newest, GOSSIP_FANOUT
+        holders, fanout = newest, FETCHES_PER_STEP
     elif waited >= REMOTE_FETCH_DELAY_S:
         holders, fanout = newest, RELAYS_PER_ZONE
     else:
--- a/packages/core/orioleloft_core/watcherelection.py
+++ b/packages/core/orioleloft_core/watcherelection.py
@@ -2,43 +2,45 @@
 
 There is no vote. Each node decides for itself from the store access in the states of all nodes;
 one watcher too many does no harm. Nodes that read the store stay watchers. If no watcher reaches
-the store, further nodes take over after growing delays. An outage of the store then costs few calls
-whatever the size of the fleet, and where the store refuses only the current watchers, a node that
-it serves is still found.
+the store, further nodes try, more with each step up to a maximum. An outage of the store then costs
+few calls whatever the size of the fleet, and where the store cannot be reached by most nodes, one
+that reaches it is found within a second.
 """
 
+import math
 from collections.abc import Iterable
 
 from orioleloft_core import hashing
 from orioleloft_core.messages import NodeState, StoreAccess
 
-# Nodes that watch the store for the fleet. A watcher whose connection is cut silently notices only
-# after 5 s, and a configuration has to be in force in 2 s, so one of them must stay connected.
-# Three watchers, because three cut nodes out of 15 include all watchers with a probability of only
-# 1 in 455; with two watchers it is 1 in 35.
+# Nodes that watch the store for the fleet. Three, because three cut nodes out of 15 include all
+# watchers with a probability of only 1 in 455; with two watchers it is 1 in 35.
 WATCHER_COUNT = 3
 # Additional watchers while any node has lost the store. A watcher that the store refuses silently
-# appears to read it for up to 2 s, so all three watchers may be refused unnoticed.
-SPARE_WATCHER_COUNT = 1
-# Delay before further nodes take over from three that have lost the store, in seconds; doubled for
-# each three more. Half a second covers the dissemination of the loss.
-MIN_TAKEOVER_DELAY_S = 0.5
+# appears to read it for up to 0.9 s, so all three watchers may be refused unnoticed.
+SPARE_WATCHER_COUNT = 2
+# Nodes that may have tried to read the store at the start of an outage, with those that read it
+# before. The number doubles after each step, in seconds, up to a maximum, without waiting for the
+# answers: a node whose path is cut silently takes 0.5 s to notice it.
+FIRST_TRIES = 8
+TRIES_STEP_S = 0.25
+MAX_TRIES = 32
+# Period after which a few more nodes try in a long outage, in seconds.
 MAX_TAKEOVER_DELAY_S = 8.0
 # Time after which a node that has lost the store counts as ready again, in seconds. The operators'
 # bounds apply again only after that time has passed since the return of the store.
 STORE_RETRY_S = 10.0
 
 
-def takeover_delay(lost: int) -> float:
-    """Returns the delay from the last loss of the store until further nodes take over, in seconds.
+def allowed_tries(elapsed: float) -> int:
+    """Returns how many nodes may have tried to read the store since no node reads it.
 
     Args:
-        lost: how many nodes have lost the store.
+        elapsed: time since then, in seconds.
     """
-    rounds = lost // WATCHER_COUNT
-    if rounds == 0:
-        return 0.0
-    return min(MAX_TAKEOVER_DELAY_S, MIN_TAKEOVER_DELAY_S * 2 ** (rounds - 1))
+    doublings = int(min(elapsed, MAX_TAKEOVER_DELAY_S) / TRIES_STEP_S)
+    first = min(MAX_TRIES, FIRST_TRIES << doublings)
+    return first + WATCHER_COUNT * int(elapsed / MAX_TAKEOVER_DELAY_S)
 
 
 class WatcherElection:
@@ -47,7 +49,14 @@
     def __init__(self) -> None:
         self._own: NodeState | None = None
         self._lost_at: dict[str, float] = {}
+        # Time since which no node reads the store and some have lost it, or None, and the names of
+        # all that have lost it since.
+        self._outage_since: float | None = None
+        self._tried: set[str] = set()
         self._is_candidate = False
+        # Position of this node among those that may begin to watch, and how many of them should.
+        self._rank = math.inf
+        self._open_count = 0
 
     def update_states(self, now: float, own: NodeState, others: Iterable[NodeState]) -> None:
         """Recomputes the election; call it after any of the states has changed.
@@ -59,9 +68,25 @@
         """
         states = [state for state in (own, *others) if not state.is_leaving]
         lost = [state.name for state in states if state.store is StoreAccess.LOST]
+        reading = _with_access(states, StoreAccess.READING)
         self._lost_at = {name: self._lost_at.get(name, now) for name in lost}
+        self._update_outage(now, bool(reading))
         self._own = own
-        self._is_candidate = not own.is_leaving and _is_candidate(own, states)
+        self._is_candidate = not own.is_leaving and _is_candidate(own, states, reading)
+        self._open_count = _watcher_count(lost) - len(reading)
+        self._rank = math.inf
+        if self._is_candidate and own.store is StoreAccess.READY:
+            ready = _with_access(states, StoreAccess.READY)
+            self._rank = _ranked(ready, reading).index(own)
+
+    def _update_outage(self, now: float, is_any_reading: bool) -> None:
+        if is_any_reading:
+            self._outage_since = None
+            self._tried.clear()
+            return
+        self._tried.update(self._lost_at)
+        if self._outage_since is None and self._lost_at:
+            self._outage_since = now
 
     def is_retry_due(self, now: float, name: str) -> bool:
         """Whether a node lost the store at least `STORE_RETRY_S` ago and should count as ready."""
@@ -75,32 +100,31 @@
         """
         if not self._is_candidate:
             return False
-        return self._own.store is not StoreAccess.READY or self._is_takeover_due(now)
-
-    def _is_takeover_due(self, now: float) -> bool:
-        if not self._lost_at:
+        if self._own.store is not StoreAccess.READY:
             return True
-        return now - max(self._lost_at.values()) >= takeover_delay(len(self._lost_at))
+        if self._outage_since is None or not self._lost_at:
+            return self._rank < self._open_count
+        return self._rank < allowed_tries(now - self._outage_since) - len(self._tried)
+
 
+def _watcher_count(lost: list[str]) -> int:
+    return WATCHER_COUNT + SPARE_WATCHER_COUNT * bool(lost)
 
-def _is_candidate(own: NodeState, states: list[NodeState]) -> bool:
-    """Whether a node is a watcher, at the latest once the takeover delay has passed."""
-    reading = _with_access(states, StoreAccess.READING)
-    is_any_lost = any(state.store is StoreAccess.LOST for state in states)
-    watchers = WATCHER_COUNT + SPARE_WATCHER_COUNT * is_any_lost
+
+def _is_candidate(own: NodeState, states: list[NodeState], reading: list[NodeState]) -> bool:
+    """Whether a node is a watcher, or may become one once a takeover is due."""
+    lost = _with_access(states, StoreAccess.LOST)
+    watchers = _watcher_count(lost)
     match own.store:
         case StoreAccess.READING:
             # The same number as for ready nodes: a node that may start to read must not have to
             # stop after its first answer.
             return own in _top_ranked(reading, watchers)
         case StoreAccess.READY:
-            ready = _with_access(states, StoreAccess.READY)
-            return own in _top_ranked(ready, watchers - len(reading), reading)
+            return len(reading) < watchers
         case StoreAccess.LOST:
             # While no node reads the store, some must keep calling it to notice its return.
-            return not reading and own in _top_ranked(
-                _with_access(states, own.store), WATCHER_COUNT
-            )
+            return not reading and own in _top_ranked(lost, WATCHER_COUNT)
     return False
 
 
@@ -108,18 +132,18 @@
     return [state for state in states if state.store is access]
 
 
-def _top_ranked(
-    states: list[NodeState], count: int, current: Iterable[NodeState] = ()
-) -> list[NodeState]:
-    """Returns the first nodes in rendezvous order, from as many different zones as possible.
+def _top_ranked(states: list[NodeState], count: int) -> list[NodeState]:
+    """Returns this many of the first nodes in the order of `_ranked`; there may be fewer."""
+    return states if len(states) <= count else _ranked(states)[:count]
+
+
+def _ranked(states: list[NodeState], current: Iterable[NodeState] = ()) -> list[NodeState]:
+    """Sorts nodes in rendezvous order, with one from each zone first.
 
     Args:
-        states: the candidates.
-        count: how many to return; there may be fewer.
+        states: the nodes.
         current: nodes that watch already; their zones come last.
     """
-    if count <= 0 or len(states) <= count:
-        return states if count > 0 else []
     by_name = {state.name: state for state in states}
     ranked = [by_name[name] for name in hashing.rendezvous_order("watch", by_name)]
     zones = {state.zone for state in current}
@@ -128,5 +152,5 @@
         if state.zone not in zones:
             zones.add(state.zone)
             chosen.append(state)
-    rest = [state for state in ranked if state not in chosen]
-    return (chosen + rest)[:count]
+    names = {state.name for state in chosen}
+    return chosen + [state for state in ranked if state.name not in names]
--- a/tests/test_configdelay.py
+++ b/tests/test_configdelay.py
@@ -34,7 +34,7 @@
     node.is_down = True
 
 
-async def delay_of_change(fleet, seed, routes, fail):
+async def delay_of_change(fleet, seed, routes, fail, share):
     """Returns the longest time until a change is in force at a node in touch, in seconds."""
     rng = random.Random(seed)
     await fleet.start()
@@ -42,7 +42,7 @@
     readers = fleet.watchers()
     others = [node for node in fleet.nodes.values() if node not in readers]
     rng.shuffle(others)
-    for node in (readers + others)[: round(FAILED_SHARE * len(fleet.nodes))]:
+    for node in (readers + others)[: round(share * len(fleet.nodes))]:
         fail(node)
     await asyncio.sleep(CONFIRMED_AFTER_S)
     confirmed_at = asyncio.get_running_loop().time()
@@ -82,10 +82,10 @@
         logging.disable(logging.WARNING)
         self.addCleanup(logging.disable, logging.NOTSET)
 
-    def check(self, count, zones, deadline, seed, routes, fail):
+    def check(self, count, zones, deadline, seed, routes, fail, share=FAILED_SHARE):
         async def play():
             fleet = StateFleet(count, zones, seed)
-            return await delay_of_change(fleet, seed, routes, fail)
+            return await delay_of_change(fleet, seed, routes, fail, share)
 
         self.assertLessEqual(run_in_virtual_time(play()), deadline)
 
@@ -102,6 +102,14 @@
         """Guards against a confirmed change that nobody reads while all readers are cut off."""
         self.check(count, zones, deadline, seed, routes, lose_path_to_store)
 
+    @params((1, 0.6), (2, 0.6), (3, 0.6), (4, 0.6), (1, 0.9), (2, 0.9), (3, 0.9), (4, 0.9))
+    def test_most_nodes_lose_the_store(self, seed, share):
+        """Guards against nodes that wait for each other's answers before they try to read it.
+
+        With 90 in 100 nodes cut off, a change was in force only after the cut had ended.
+        """
+        self.check(98, 3, 2.5, seed, LARGE, lose_path_to_store, share)
+
     @params(
         (15, 3, 2.0, 1, LARGE),
         (98, 3, 2.5, 2, LARGE),
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -263,9 +263,10 @@
             if network.fleets[name].update(store=access):
                 network.deliver(name, network.fleets[name].announce())
 
-    def test_watchers_and_takeover(self):
+    @params(15, 60)
+    def test_watchers_and_takeover(self, count):
         """Guards against all nodes watching the store, and against none doing so."""
-        network = Network(15)
+        network = Network(count)
         network.run(6)
         first = self.watchers(network)
         self.assertEqual(len(first), watcherelection.WATCHER_COUNT)
@@ -273,11 +274,16 @@
         network.run(2)
         self.assertEqual(self.watchers(network), first)
         self.set_store_access(network, first, StoreAccess.LOST)
-        network.run(watcherelection.MIN_TAKEOVER_DELAY_S + PERIOD)
         others = self.watchers(network) - first
         self.assertEqual(
             len(others), watcherelection.WATCHER_COUNT + watcherelection.SPARE_WATCHER_COUNT
         )
+        # The others have no answer yet, and do not know yet that they get none.
+        network.run(2 * PERIOD)
+        others = self.watchers(network) - first
+        self.assertLessEqual(len(others), watcherelection.MAX_TRIES - len(first))
+        network.run(5)
+        self.assertEqual(self.watchers(network) - first, others)
 
     def test_replacements_stay_watchers_after_a_restart(self):
         """Guards against a configuration that no node reads while the watchers restart.
--- a/tests/test_holders.py
+++ b/tests/test_holders.py
@@ -6,7 +6,6 @@
 from nose2.tools import params
 
 from orioleloft_core import holders
-from orioleloft_core.dissemination import GOSSIP_FANOUT
 from orioleloft_core.messages import NodeState, StateVersions, StoreAccess
 from orioleloft_core.registry import StateVersion
 
@@ -66,7 +65,7 @@
         fetching = sum(
             bool(choose(ahead, zone_size=zone_size, seed=seed)) for seed in range(zone_size)
         )
-        self.assertLessEqual(fetching, 2 * GOSSIP_FANOUT * holder_count)
+        self.assertLessEqual(fetching, 4 * holders.FETCHES_PER_STEP * holder_count)
         self.assertGreater(fetching, 0)
 
     def test_wait_ends(self):
