--- a/tests/support/statefleet.py
+++ b/standins/statefleet.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from types import SimpleNamespace
+from collections.abc import Awaitable, Callable, Coroutine
 
 from orioleloft_core import membership, messages
 from orioleloft_core.fleet import Fleet
@@ -37,15 +37,15 @@
     StateTransfer,
 )
 from orioleloftd.peerprotocol import PeerProtocol
-from orioleloftd.sharedstate import SharedState
+from orioleloftd.sharedstate import ChangeOrigin, SharedState
 from orioleloftd.storesync import (
     CALL_TIMEOUT_S,
     PROBE_TIMEOUT_S,
     WATCH_TIMEOUT_MARGIN_S,
     StoreError,
     StoreSync,
+    TargetChanges,
 )
-from standins.virtualtime import run_in_virtual_time
 
 # Time for which all nodes run before anything changes, in seconds.
 WARM_UP_S = 5.0
@@ -109,82 +109,90 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def wait_for_change(self, revision: int) -> None:
-        """Waits until the store is past a revision."""
-        while self.revision <= revision:
-            await self._changed.wait()
+    async def wait_for_change(self, revision: int, wait: float) -> None:
+        """Waits until the store is past a revision, for some seconds at most."""
+        try:
+            async with asyncio.timeout(wait):
+                while self.revision <= revision:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
 
 
 class StoreClient:
-    """Calls of one node to the store; implements `storesync.Store` as far as it is needed."""
+    """Calls of one node to the store; implements what a `StateNode` needs of `storesync.Store`.
 
-    def __init__(self, store: MemoryStore, is_cut, era: int = 0) -> None:
+    Args:
+        store: the store.
+        is_cut: returns whether the node has no path to the store; a call then waits in vain.
+    """
+
+    # The store states no era.
+    era = 0
+
+    def __init__(self, store: MemoryStore, is_cut: Callable[[], bool]) -> None:
         self._store = store
         self._is_cut = is_cut
-        self.era = era
-
-    async def _call(self, timeout: float, work=None) -> None:
-        try:
-            async with asyncio.timeout(timeout):
-                await asyncio.sleep(STORE_CALL_S)
-                if work is not None:
-                    await work
-                if self._is_cut():
-                    await asyncio.Event().wait()
-        except TimeoutError:
-            raise StoreError("no response") from None
 
-    async def probe(self):
+    async def probe(self) -> None:
+        """See `storesync.Store`, as for the other calls."""
         await self._call(PROBE_TIMEOUT_S)
 
-    async def read_table(self, allow_stale=False):
+    async def read_table(self, allow_stale: bool = False) -> tuple[RouteTable | None, int]:
+        """Reads the route table."""
         await self._call(CALL_TIMEOUT_S)
         return self._store.table, self._store.revision
 
-    async def watch_table(self, revision, wait):
-        known = self._store.table
-        await self._watch(revision, wait)
-        table = self._store.table
-        return (table if self._store.revision > revision else None), (
-            max(revision, self._store.revision)
-            if table is not known or self._store.revision > revision
-            else revision
-        )
-
-    async def _watch(self, revision, wait):
-        async def wait_for_change():
-            try:
-                async with asyncio.timeout(wait):
-                    await self._store.wait_for_change(revision)
-            except TimeoutError:
-                return
+    async def watch_table(self, revision: int, wait: float) -> tuple[RouteTable | None, int]:
+        """Waits for a newer route table."""
+        await self._call(wait + WATCH_TIMEOUT_MARGIN_S, self._store.wait_for_change(revision, wait))
+        is_changed = self._store.revision > revision
+        return (self._store.table if is_changed else None), self._store.revision
 
-        await self._call(wait + WATCH_TIMEOUT_MARGIN_S, wait_for_change())
-
-    async def read_targets(self, allow_stale=False):
+    async def read_targets(self, allow_stale: bool = False) -> TargetList:
+        """Reads the targets, of which there are none."""
         await self._call(CALL_TIMEOUT_S)
         return TargetList(StateVersion(1, 1), ())
 
-    async def watch_targets(self, revision, wait):
+    async def watch_targets(self, revision: int, wait: float) -> TargetChanges:
+        """Waits for changes of the targets, which never come."""
         await self._call(wait + WATCH_TIMEOUT_MARGIN_S, asyncio.sleep(wait))
-        return SimpleNamespace(revision=revision, changed=(), removed=())
+        return TargetChanges(revision, (), ())
 
-    async def read_closed_zones(self, allow_stale=False):
+    async def read_closed_zones(self, allow_stale: bool = False) -> ClosedZones:
+        """Reads the closed zones, of which there are none."""
         await self._call(CALL_TIMEOUT_S)
         return ClosedZones(StateVersion(1, 1), ())
 
-    async def watch_closed_zones(self, revision, wait):
+    async def watch_closed_zones(self, revision: int, wait: float) -> int:
+        """Waits for a change of the closed zones, which never comes."""
         await self._call(wait + WATCH_TIMEOUT_MARGIN_S, asyncio.sleep(wait))
         return revision
 
+    async def _call(self, timeout: float, work: Awaitable[None] | None = None) -> None:
+        """Takes the time of a call and of the work that the store does for it.
+
+        Raises:
+            StoreError: there was no answer in time.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(STORE_CALL_S)
+                if work is not None:
+                    await work
+                if self._is_cut():
+                    await asyncio.Event().wait()
+        except TimeoutError:
+            raise StoreError("no response") from None
+
 
 class _NoCrashes:
     """Stands for `CrashDissemination`, which the configuration does not need."""
 
-    async def fetch(self, host):
+    async def fetch(self, host: str) -> None:
         """Has nothing to fetch."""
 
-    def tick(self):
+    def tick(self) -> None:
         """Has nothing to do."""
 
 
@@ -243,7 +251,7 @@
         """Version of the table in force."""
         return self.state.state_versions.table
 
-    def _on_change(self, origin) -> None:
+    def _on_change(self, origin: ChangeOrigin) -> None:
         before = self.fleet.own_state
         self.fleet.set_state_versions(self.state.state_versions)
         if self.table_version not in self.in_force:
@@ -351,7 +359,7 @@
             self.spawn(node.run())
         await asyncio.sleep(WARM_UP_S)
 
-    def spawn(self, coroutine) -> None:
+    def spawn(self, coroutine: Coroutine) -> None:
         """Runs a coroutine in the background."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
@@ -412,8 +420,3 @@
         if key not in self._sizes:
             self._sizes[key] = len(peering._encode_transfer(StateTransfer(update, ())))
         return self._sizes[key]
-
-
-def play(coroutine) -> object:
-    """Runs a coroutine in virtual time, without the log lines of the nodes."""
-    return run_in_virtual_time(coroutine)
--- a/tests/test_configdelay.py
+++ b/tests/test_configdelay.py
@@ -1,6 +1,6 @@
 """Tests of the time until a change of the configuration is in force at every node in touch.
 
-Fleets of real nodes without sockets run in virtual time; see `tests.support.statefleet`. The store
+Fleets of real nodes without sockets run in virtual time; see `standins.statefleet`. The store
 confirms a change just after a third of the nodes, the readers of the store among them, have lost
 their path to it or have died. The bound is the operators' `config_deadline`.
 """
@@ -12,8 +12,8 @@
 
 from nose2.tools import params
 
+from standins.statefleet import StateFleet, make_table
 from standins.virtualtime import run_in_virtual_time
-from tests.support.statefleet import StateFleet, make_table
 
 # Routes in a change that exceeds a datagram, and in one that does not.
 LARGE = 1400
@@ -24,6 +24,9 @@
 CONFIRMED_AFTER_S = 0.05
 # Time for which the nodes run before the failure, at most, in seconds: the longest watch.
 MAX_START_S = 4.0
+# Time for which a change may spread once one node has it, in seconds; the rest of the shortest
+# deadline is for noticing that the readers of the store are gone.
+SPREAD_S = 1.0
 
 
 def lose_path_to_store(node):
@@ -51,11 +54,6 @@
     return max(node.in_force.get(2, 1e9) for node in fleet.in_touch()) - confirmed_at
 
 
-# Time for which a change may spread once one node has it, in seconds; the rest of the shortest
-# deadline is for noticing that the readers of the store are gone.
-SPREAD_S = 1.0
-
-
 async def spread_time(fleet, fail):
     """Returns the time between the first and the last node in touch that has a change."""
     await fleet.start()
