--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -332,18 +332,16 @@
         try:
             for host in hosts:
                 pending.add(asyncio.ensure_future(self._fetch(host)))
-                if await self._is_any_fetched(pending, FETCH_HEDGE_DELAY_S):
+                if await self._wait_for_any(pending, FETCH_HEDGE_DELAY_S):
                     return
-            while pending and not await self._is_any_fetched(pending, None):
+            while pending and not await self._wait_for_any(pending, None):
                 pass
         finally:
             for task in pending:
                 task.cancel()
 
-    async def _is_any_fetched(
-        self, pending: set[asyncio.Task[bool]], timeout: float | None
-    ) -> bool:
-        """Waits until one of the fetches ends, which is removed; returns whether it succeeded."""
+    async def _wait_for_any(self, pending: set[asyncio.Task[bool]], timeout: float | None) -> bool:
+        """Waits until a fetch ends and removes it from the set; returns whether it succeeded."""
         done, _ = await asyncio.wait(pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
         pending -= done
         return any([task.result() for task in done])
