--- a/packages/core/orioleloft_core/fleet.py
+++ b/packages/core/orioleloft_core/fleet.py
@@ -229,7 +229,7 @@
         return self._disseminator.gossip(Announcement(self._own), self.alive())
 
     def gossip_fetched_state(self) -> list[OutgoingDatagram]:
-        """Does the same after a fetch, which the nodes of the other zones need not know of."""
+        """Sends the state of this node, after a fetch, to nodes of its zone and one of another."""
         return self._disseminator.gossip_fetched(Announcement(self._own), self.alive())
 
     # Failure detection.
--- a/packages/core/orioleloft_core/holders.py
+++ b/packages/core/orioleloft_core/statesources.py
@@ -2,7 +2,7 @@
 
 All nodes of a zone may hear at the same moment that one node has a change. If all of them fetched
 it from that node, its link would be busy for seconds, so each step only as many begin as the known
-holders can serve; those that have it become holders themselves.
+sources can serve; those that have it become sources themselves.
 """
 
 import random
@@ -11,7 +11,7 @@
 from orioleloft_core.dissemination import RELAYS_PER_ZONE
 from orioleloft_core.messages import NodeState
 
-# Nodes of a zone that begin to fetch from each known holder in one step, on average.
+# Nodes of a zone that begin to fetch from each known source in one step, on average.
 FETCHES_PER_STEP = 4
 # Time after which a fetch from a node in another zone is allowed, in seconds: by then a node in
 # this zone has the change as well, unless all relays to it are down.
@@ -20,7 +20,7 @@
 MAX_FETCH_WAIT_S = 1.0
 
 
-def choose_holders(
+def choose_sources(
     own: NodeState,
     ahead: Sequence[NodeState],
     *,
@@ -43,17 +43,17 @@
     newest = _newest_tables(own, ahead)
     local = [state for state in newest if state.zone == own.zone]
     if local:
-        holders, fanout = local, FETCHES_PER_STEP
+        sources, fanout = local, FETCHES_PER_STEP
     elif is_directly_announced:
-        holders, fanout = newest, FETCHES_PER_STEP
+        sources, fanout = newest, FETCHES_PER_STEP
     elif waited >= REMOTE_FETCH_DELAY_S:
-        holders, fanout = newest, RELAYS_PER_ZONE
+        sources, fanout = newest, RELAYS_PER_ZONE
     else:
         return []
-    is_chosen = rng.random() * zone_size < fanout * len(holders)
+    is_chosen = rng.random() * zone_size < fanout * len(sources)
     if not is_chosen and waited < MAX_FETCH_WAIT_S:
         return []
-    return rng.sample(holders, len(holders))
+    return rng.sample(sources, len(sources))
 
 
 def _newest_tables(own: NodeState, ahead: Sequence[NodeState]) -> list[NodeState]:
--- a/packages/node/orioleloftd/peerprotocol.py
+++ b/packages/node/orioleloftd/peerprotocol.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
-from orioleloft_core import holders, messages
+from orioleloft_core import messages, statesources
 from orioleloft_core.contention import RouteStatistics
 from orioleloft_core.entrysettings import Endpoint
 from orioleloft_core.fleet import Fleet
@@ -39,12 +39,12 @@
 # Delay before the shared state is fetched from another node, in seconds; a datagram with the same
 # change may be on its way.
 FETCH_DELAY_S = 0.02
-# Interval at which a node that waits for holders with room looks for them again, in seconds.
+# Interval at which a node that waits for sources with room looks for them again, in seconds.
 FETCH_STEP_S = 0.05
-# Time after which a second holder is asked beside one that has not answered, in seconds, and the
-# number of holders that are asked at most.
+# Time after which a second source is asked beside one that has not answered, in seconds, and the
+# number of sources that are asked at most.
 FETCH_HEDGE_DELAY_S = 0.25
-MAX_HOLDERS_ASKED = 3
+MAX_SOURCES_ASKED = 3
 # Interval between requests to a seed that has no shared state yet, in seconds. If the store
 # answers, a restarted node has read the state from there in 0.1 s.
 SEED_RETRY_S = 0.5
@@ -311,7 +311,7 @@
         try:
             await asyncio.sleep(FETCH_DELAY_S)
             while ahead := self._fleet.nodes_ahead():
-                chosen = holders.choose_holders(
+                chosen = statesources.choose_sources(
                     self._fleet.own_state,
                     ahead,
                     zone_size=self._fleet.zone_size,
@@ -320,14 +320,14 @@
                     rng=self._rng,
                 )
                 if chosen:
-                    await self._fetch_from_any([state.host for state in chosen[:MAX_HOLDERS_ASKED]])
+                    await self._fetch_from_any([state.host for state in chosen[:MAX_SOURCES_ASKED]])
                     return
                 await asyncio.sleep(FETCH_STEP_S)
         finally:
             self._is_fetching = False
 
     async def _fetch_from_any(self, hosts: list[str]) -> None:
-        """Fetches from the first holder, and from the next ones while none has answered."""
+        """Fetches from the first source, and from the next ones while none has answered."""
         pending: set[asyncio.Task[bool]] = set()
         try:
             for host in hosts:
--- a/standins/statefleet.py
+++ b/standins/statefleet.py
@@ -290,13 +290,13 @@
 
     async def fetch(self, host: str, known: StateVersions, includes_members: bool) -> FetchedState:
         """Fetches what another node holds beyond the known versions."""
-        holder = self._parent.nodes[host]
+        source = self._parent.nodes[host]
         try:
             async with asyncio.timeout(FETCH_TIMEOUT_S):
-                await self._parent.round_trip(self, holder)
-                update = holder.state.update_since(known)
+                await self._parent.round_trip(self, source)
+                update = source.state.update_since(known)
                 size = self._parent.transfer_size(update)
-                await holder.occupy_link(size)
+                await source.occupy_link(size)
                 return FetchedState(StateTransfer(update, ()), size)
         except TimeoutError:
             raise ExchangeError(f"no response from {host}", True) from None
--- a/tests/test_configdelay.py
+++ b/tests/test_configdelay.py
@@ -129,15 +129,15 @@
         self.assertLessEqual(run_in_virtual_time(play()), SPREAD_S)
 
     @params(("silent", ["n1", "n0"], 0.4), ("two silent", ["n1", "n2", "n0"], 0.7))
-    def test_holder_that_does_not_answer(self, name, holders, limit):
-        """Guards against a node that waits for the time-out of each holder that is down."""
+    def test_source_that_does_not_answer(self, name, sources, limit):
+        """Guards against a node that waits for the timeout of each source that is down."""
 
         async def play():
             fleet = StateFleet(4, 1, seed=1)
             fleet.nodes["n0"].state.on_table(make_table(2, LARGE))
             fleet.nodes["n1"].is_cut = fleet.nodes["n2"].is_cut = True
             node = fleet.nodes["n3"]
-            await node.peers._fetch_from_any(holders)
+            await node.peers._fetch_from_any(sources)
             return node.in_force.get(2)
 
         fetched_at = run_in_virtual_time(play())
--- a/tests/test_holders.py
+++ b/tests/test_statesources.py
@@ -5,13 +5,13 @@
 
 from nose2.tools import params
 
-from orioleloft_core import holders
+from orioleloft_core import statesources
 from orioleloft_core.messages import NodeState, StateVersions, StoreAccess
 from orioleloft_core.registry import StateVersion
 
 SOON = 0.0
-LATER = holders.REMOTE_FETCH_DELAY_S
-AT_LAST = holders.MAX_FETCH_WAIT_S
+LATER = statesources.REMOTE_FETCH_DELAY_S
+AT_LAST = statesources.MAX_FETCH_WAIT_S
 
 
 def state(name, zone, table, targets=1):
@@ -29,7 +29,7 @@
 
 def choose(ahead, waited=SOON, announced=False, zone_size=2, seed=1):
     rng = random.Random(seed)
-    chosen = holders.choose_holders(
+    chosen = statesources.choose_sources(
         OWN,
         ahead,
         zone_size=zone_size,
@@ -37,10 +37,10 @@
         is_directly_announced=announced,
         rng=rng,
     )
-    return {holder.name for holder in chosen}
+    return {source.name for source in chosen}
 
 
-class HoldersTest(unittest.TestCase):
+class StateSourcesTest(unittest.TestCase):
     @params(
         ("its own zone first", [LOCAL, REMOTE], SOON, False, {"local"}),
         ("not yet from another zone", [REMOTE], SOON, False, set()),
@@ -56,16 +56,16 @@
         self.assertEqual(choose(ahead, waited, announced), expected, name)
 
     @params((56, 1), (56, 3), (200, 1))
-    def test_load_of_a_holder(self, zone_size, holder_count):
+    def test_load_of_a_source(self, zone_size, source_count):
         """Guards against all nodes of a zone that fetch a large change from the same node at once.
 
         With 224 nodes one of them served 109 transfers after it had taken over the store watch.
         """
-        ahead = [state(f"h{index}", "a", 5) for index in range(holder_count)]
+        ahead = [state(f"h{index}", "a", 5) for index in range(source_count)]
         fetching = sum(
             bool(choose(ahead, zone_size=zone_size, seed=seed)) for seed in range(zone_size)
         )
-        self.assertLessEqual(fetching, 4 * holders.FETCHES_PER_STEP * holder_count)
+        self.assertLessEqual(fetching, 4 * statesources.FETCHES_PER_STEP * source_count)
         self.assertGreater(fetching, 0)
 
     def test_wait_ends(self):
